Keep flows in their data centre while its targets have free slots

Ruled out: a fixed preference. Change: new flows leave the data centre only from a use of 1.0 of its slots.

--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -110,6 +110,17 @@
 	return count
 }
 
+// Local returns the number of live hosts of the own data centre, with this one.
+func (m *Membership) Local(now time.Duration) int {
+	count := 1
+	for _, o := range m.members {
+		if o.DataCentre == m.self.DataCentre && o.alive(now) {
+			count++
+		}
+	}
+	return count
+}
+
 func (o *member) alive(now time.Duration) bool { return !o.leaving && now-o.heard <= aliveLimit }
 
 // Rank returns the host's place among the live hosts. A data centre that is cut
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -61,6 +61,7 @@
 	gone     int
 	departed int
 	complete bool
+	hosts    int
 }
 
 func newControl(n *Node, socket *net.UDPConn) *control {
@@ -232,7 +233,7 @@
 		return
 	}
 	members, complete := c.catalog.Members(now)
-	basis := viewBasis{complete: complete}
+	basis := viewBasis{complete: complete, hosts: c.members.Local(now)}
 	for kind := range basis.states {
 		basis.states[kind] = c.catalog.State(catalog.Kind(kind), now).Sum
 	}
@@ -248,7 +249,7 @@
 		return
 	}
 	c.shown = basis
-	c.node.view.Store(packet.NewView(c.node.settings.DataCentre, routes(configuration), targets(members, now), complete))
+	c.node.view.Store(packet.NewView(c.node.settings.DataCentre, basis.hosts, routes(configuration), targets(members, now), complete))
 	if !c.leaving && c.node.ready.CompareAndSwap(false, true) {
 		c.node.log.Info(logs.NodeReady, zap.Uint64("configuration", configuration.Version), zap.Int("targets", len(members)))
 	}
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// scanLimit is the number of targets that a placement compares. Beyond it a
-	// random part is compared, which bounds the time of a new flow.
-	scanLimit = 32
 	// handshakeLimit is the time after which an opening that was not completed is
 	// forgotten. A client gives up 1.4 s after its first packet.
 	handshakeLimit = 2 * time.Second
@@ -46,13 +43,6 @@
 	idle               time.Duration
 }
 
-// service groups the targets that take new flows of a service.
-type service struct {
-	targets []*targetRecord
-	// response is the mean response time of the targets that have one.
-	response time.Duration
-}
-
 // Plane decides on packets. It is not safe for concurrent use.
 type Plane struct {
 	view     *View
@@ -85,7 +75,9 @@
 		t.listed = false
 	}
 	clear(p.tags)
-	clear(p.services)
+	for _, s := range p.services {
+		s.clear()
+	}
 	for i := range v.targets {
 		target := &v.targets[i]
 		t, found := p.targets[target.Key]
@@ -103,31 +95,25 @@
 			s = &service{}
 			p.services[t.Service] = s
 		}
-		s.targets = append(s.targets, t)
+		s.add(t)
+	}
+	for name, s := range p.services {
+		if s.empty() {
+			delete(p.services, name)
+		}
 	}
 	for key, t := range p.targets {
 		if !t.listed && t.open == 0 {
 			delete(p.targets, key)
 		}
 	}
-	p.renewMeans()
+	p.measure()
 }
 
-// renewMeans computes the mean response time of each service.
-func (p *Plane) renewMeans() {
+// measure renews what placement knows of each service.
+func (p *Plane) measure() {
 	for _, s := range p.services {
-		var sum time.Duration
-		count := 0
-		for _, t := range s.targets {
-			if t.response > 0 {
-				sum += t.response
-				count++
-			}
-		}
-		s.response = 0
-		if count > 0 {
-			s.response = sum / time.Duration(count)
-		}
+		s.measure(p.view.hosts)
 	}
 }
 
@@ -277,42 +263,18 @@
 	}
 }
 
-// place returns the least loaded target for a new flow, or nil if the route's
-// services have none. The excluded targets did not answer and are taken only
-// if there is no other.
+// place returns a target for a new flow, or nil if the route's service has
+// none. The excluded targets did not answer and are taken only if there is no
+// other.
 func (p *Plane) place(now time.Duration, route *Route, excluded, alsoExcluded *targetRecord) *targetRecord {
 	s := p.services[p.serviceOf(route)]
 	if s == nil {
 		return nil
 	}
-	count, offset := len(s.targets), p.random.IntN(len(s.targets))
-	compared := min(count, scanLimit)
-	var best, bestSilent *targetRecord
-	var bestLoad, bestSilentLoad float64
-	for i := range compared {
-		t := s.targets[(offset+i)%count]
-		if t == excluded || t == alsoExcluded {
-			continue
-		}
-		load := t.load(now, s.response)
-		if t.silent(now) {
-			if bestSilent == nil || load < bestSilentLoad {
-				bestSilent, bestSilentLoad = t, load
-			}
-			continue
-		}
-		if best == nil || load < bestLoad {
-			best, bestLoad = t, load
-		}
-	}
-	switch {
-	case best != nil:
-		return best
-	case bestSilent != nil:
-		return bestSilent
-	default:
-		return excluded
+	if t := s.place(now, p.random, excluded, alsoExcluded); t != nil {
+		return t
 	}
+	return excluded
 }
 
 // serviceOf draws the service of a new flow by the weights of its route.
@@ -358,7 +320,7 @@
 // It also renews the mean response times. Called several times a second, it
 // visits every flow within a few seconds.
 func (p *Plane) Sweep(now time.Duration) {
-	p.renewMeans()
+	p.measure()
 	if len(p.sweep) == 0 {
 		for key := range p.flows {
 			p.sweep = append(p.sweep, key)
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -16,7 +16,7 @@
 	// coldFactor is the load of a target in its warm-up against a warm one.
 	coldFactor = 2.0
 	// remoteFactor is the load of a target in another data centre against a local
-	// one: a local target is preferred while it is not clearly busier.
+	// one when both are compared: a distant one must be clearly less busy.
 	remoteFactor = 1.25
 	// activeWeight is the weight of a request in progress against that of an open
 	// flow: most open flows are between two requests.
