--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -85,7 +85,8 @@
 		}
 		return local.target
 	}
-	spill := (s.use - spillStart) / (spillFull - spillStart)
+	// The own count alone is a lower bound that shows a crowd at once.
+	spill := (max(s.use, local.use) - spillStart) / (spillFull - spillStart)
 	if random.Float64() < spill && remote.load < local.load {
 		return remote.target
 	}
@@ -97,6 +98,9 @@
 	target *targetRecord
 	load   float64
 	silent bool
+	// use is the number of the host's requests in progress for each slot of the
+	// group.
+	use float64
 }
 
 func (s *service) least(
@@ -106,9 +110,12 @@
 	if len(group) == 0 {
 		return best
 	}
+	active, slots := 0, 0
 	offset := random.IntN(len(group))
 	for i := range min(len(group), scanLimit) {
 		t := group[(offset+i)%len(group)]
+		active += t.active
+		slots += t.Slots
 		if t == excluded || t == alsoExcluded {
 			continue
 		}
@@ -117,5 +124,6 @@
 			best = candidate{target: t, load: load, silent: silent}
 		}
 	}
+	best.use = float64(active) / float64(slots)
 	return best
 }
