Forward open flows whose route this host does not know yet

Cause: a host with an older configuration reset the packets of flows that another host had opened on a new route; a planned change must not break them. Change: an unknown route of an open flow is forwarded by its tag.

--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -83,6 +83,7 @@
 	packet.ReasonPlaced:          logs.FlowPlaced,
 	packet.ReasonPlacedAgain:     logs.FlowPlacedAgain,
 	packet.ReasonAdopted:         logs.FlowAdopted,
+	packet.ReasonRouteUnknown:    logs.FlowAdopted,
 	packet.ReasonNoRoute:         logs.FlowRefused,
 	packet.ReasonNoTarget:        logs.FlowRefused,
 	packet.ReasonTargetGone:      logs.FlowRefused,
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -62,6 +62,7 @@
 	ReasonCopy
 	ReasonOpen
 	ReasonAdopted
+	ReasonRouteUnknown
 	ReasonNoRoute
 	ReasonNoTarget
 	ReasonNotOpen
@@ -73,7 +74,7 @@
 )
 
 var reasonNames = [reasonCount]string{
-	"placed", "placed_again", "copy", "open", "adopted", "no_route", "no_target", "not_open",
+	"placed", "placed_again", "copy", "open", "adopted", "route_unknown", "no_route", "no_target", "not_open",
 	"target_unknown", "target_gone", "no_configuration", "malformed",
 }
 
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -204,22 +204,21 @@
 
 // adopt decides on a packet of a flow that another host opened.
 func (p *Plane) adopt(now time.Duration, k *Packet) Decision {
-	route := p.view.routes[k.Flow.Service]
-	switch {
-	case k.Tag == 0:
+	if k.Tag == 0 {
 		return Decision{Action: Drop, Reason: ReasonNotOpen}
-	case route == nil:
-		return Decision{Action: Refuse, Reason: ReasonNoRoute}
 	}
-	t := p.tags[k.Tag]
+	t, route := p.tags[k.Tag], p.view.routes[k.Flow.Service]
 	switch {
-	case t == nil && !p.view.complete:
+	case t == nil && (!p.view.complete || route == nil):
 		return Decision{Action: Drop, Reason: ReasonTargetUnknown}
 	case t == nil || t.State == Gone:
 		if k.Reset {
 			return Decision{Action: Drop, Reason: ReasonTargetGone}
 		}
 		return Decision{Action: Refuse, Reason: ReasonTargetGone}
+	case route == nil:
+		// The host that opened the flow may know a newer configuration.
+		return forward(t, ReasonRouteUnknown)
 	case k.Reset:
 		return forward(t, ReasonAdopted)
 	}
--- /dev/null
+++ b/internal/packet/plane_test.go
@@ -0,0 +1,243 @@
+package packet_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"oriolevalve/internal/packet"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func sorted(m map[string]int) []string { return slices.Sorted(maps.Keys(m)) }
+
+func serviceAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+}
+
+func clientAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 22), byte(i >> 14)}), uint16(10_000+i&0x3fff))
+}
+
+// fleet returns a view with equal numbers of targets for each service, spread
+// over the data centres a, b and c.
+func fleet(services, targets int) *packet.View {
+	var routes []packet.Route
+	for i := range services {
+		routes = append(routes, packet.Route{
+			Address: serviceAddress(i), Services: []packet.ServiceShare{{Service: fmt.Sprint("s", i), Weight: 1}},
+		})
+	}
+	list := make([]packet.Target, targets)
+	for i := range list {
+		list[i] = packet.Target{
+			Key: packet.TargetKey(0x1000 + i), Service: fmt.Sprint("s", i%services), DataCentre: string(rune('a' + i/services%3)),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80), Slots: 2,
+		}
+	}
+	return packet.NewView("a", 3, routes, list, true)
+}
+
+// Guards against a packet of an open flow that reaches another target than the
+// one that holds the flow, through the host that opened it or another one, and
+// against a new flow at a target that doesn't take it.
+func TestFlowStaysAtItsTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		hosts := make([]*packet.Plane, 3)
+		for i := range hosts {
+			hosts[i] = packet.NewPlane(rand.New(rand.NewPCG(seed, uint64(i))))
+		}
+		targets := make([]packet.Target, rapid.IntRange(1, 6).Draw(t, "targets"))
+		for i := range targets {
+			targets[i] = packet.Target{
+				Key: packet.TargetKey(i + 1), Service: fmt.Sprint("s", i%2), DataCentre: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "dc"), Slots: 1,
+			}
+		}
+		routes := []packet.Route{
+			{Address: serviceAddress(0), Services: []packet.ServiceShare{{Service: "s0", Weight: 1}}},
+			{Address: serviceAddress(1), Services: []packet.ServiceShare{{Service: "s1", Weight: 1}}},
+		}
+		publish := func() {
+			v := packet.NewView("a", 2, routes, slices.Clone(targets), false)
+			for _, h := range hosts {
+				h.SetView(v)
+			}
+		}
+		publish()
+		open := map[int]packet.TargetKey{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
+			host := hosts[rapid.IntRange(0, 2).Draw(t, "host")]
+			client := rapid.IntRange(0, 5).Draw(t, "client")
+			service := client % 2
+			k := packet.Packet{Flow: packet.Flow{Client: clientAddress(client), Service: serviceAddress(service)}, Sequence: 7}
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				i := rapid.IntRange(0, len(targets)-1).Draw(t, "target")
+				targets[i].State = rapid.SampledFrom([]packet.TargetState{packet.Accepting, packet.Draining, packet.Departed}).Draw(t, "state")
+				publish()
+				continue
+			case 1:
+				if _, found := open[client]; found {
+					continue
+				}
+				k.Synchronize = true
+				d := host.Decide(now, &k)
+				accepting := slices.ContainsFunc(targets, func(t packet.Target) bool {
+					return t.State == packet.Accepting && t.Service == fmt.Sprint("s", service)
+				})
+				if d.Action != packet.Forward {
+					require.False(t, accepting, "refused although a target accepts flows")
+					continue
+				}
+				if d.Reason == packet.ReasonPlaced {
+					target := targets[d.Target-1]
+					require.Equal(t, packet.Accepting, target.State)
+					require.Equal(t, fmt.Sprint("s", service), target.Service)
+				}
+				open[client] = d.Target
+			default:
+				target, found := open[client]
+				if !found {
+					continue
+				}
+				k.Acknowledge, k.Sequence, k.Tag = true, 8, target.Tag()
+				k.Length = rapid.IntRange(0, 100).Draw(t, "length")
+				k.Acknowledgement = uint32(rapid.IntRange(1, 100).Draw(t, "ack"))
+				d := host.Decide(now, &k)
+				require.Equal(t, packet.Forward, d.Action)
+				require.Equal(t, target, d.Target)
+			}
+		}
+	})
+}
+
+// Guards against an allocation for each packet of an open flow.
+func TestOpenFlowDoesNotAllocate(t *testing.T) {
+	plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+	plane.SetView(fleet(2, 18))
+	k := packet.Packet{Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(1)}, Synchronize: true, Sequence: 1}
+	d := plane.Decide(0, &k)
+	k = packet.Packet{Flow: k.Flow, Acknowledge: true, Sequence: 2, Acknowledgement: 9, Tag: d.Tag, Length: 100}
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		k.Sequence += 100
+		k.Acknowledgement++
+		plane.Decide(time.Second, &k)
+	}))
+}
+
+// Guards against memory and counts that grow with flows that ended: after all
+// flows are idle, targets count none, so the next flows spread evenly.
+func TestIdleFlowsAreForgotten(t *testing.T) {
+	plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+	plane.SetView(fleet(1, 6))
+	for i := range 600 {
+		k := packet.Packet{Flow: packet.Flow{Client: clientAddress(i), Service: serviceAddress(0)}, Synchronize: true, Sequence: 1}
+		d := plane.Decide(0, &k)
+		if i%3 == 0 {
+			continue
+		}
+		k = packet.Packet{Flow: k.Flow, Acknowledge: true, Sequence: 2, Acknowledgement: 9, Tag: d.Tag, Length: 10, End: i%3 == 1}
+		plane.Decide(time.Millisecond, &k)
+	}
+	require.Equal(t, 600, plane.Flows())
+	for range 200 {
+		plane.Sweep(2 * time.Minute)
+	}
+	require.Zero(t, plane.Flows())
+	counts := map[packet.TargetKey]int{}
+	for i := range 60 {
+		k := packet.Packet{Flow: packet.Flow{Client: clientAddress(i), Service: serviceAddress(0)}, Synchronize: true, Sequence: 1}
+		counts[plane.Decide(3*time.Minute, &k).Target]++
+	}
+	// Two of the six targets are in the host's data centre and take all.
+	require.Len(t, counts, 2)
+	for _, n := range counts {
+		require.Equal(t, 30, n)
+	}
+}
+
+// Guards against an entry or packet that stops the plane: any bytes of a header
+// give a decision.
+func FuzzDecide(f *testing.F) {
+	f.Add(uint32(1), uint32(2), uint32(3), uint16(10), byte(1), byte(0))
+	f.Add(uint32(0), uint32(0), uint32(0), uint16(0), byte(255), byte(9))
+	f.Fuzz(func(t *testing.T, tag, sequence, acknowledgement uint32, length uint16, flags, service byte) {
+		plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+		k := packet.Packet{
+			Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(int(service))},
+			Tag:  tag, Sequence: sequence, Acknowledgement: acknowledgement, Length: int(length),
+			Synchronize: flags&1 != 0, Acknowledge: flags&2 != 0, End: flags&4 != 0, Reset: flags&8 != 0,
+		}
+		require.Equal(t, packet.Drop, plane.Decide(0, &k).Action)
+		plane.SetView(fleet(2, 18))
+		for i := range 3 {
+			d := plane.Decide(time.Duration(i)*time.Second, &k)
+			require.Equal(t, d.Action == packet.Forward, d.Target != 0)
+			if d.Action == packet.Forward {
+				require.Equal(t, d.Target.Tag(), d.Tag)
+			}
+			k.Sequence++
+		}
+	})
+}
+
+func BenchmarkOpenFlow(b *testing.B) {
+	for _, flows := range []int{300, 11_000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+			plane.SetView(fleet(2, 150))
+			packets := make([]packet.Packet, flows)
+			for i := range packets {
+				k := packet.Packet{Flow: packet.Flow{Client: clientAddress(i), Service: serviceAddress(i % 2)}, Synchronize: true}
+				d := plane.Decide(0, &k)
+				packets[i] = packet.Packet{Flow: k.Flow, Acknowledge: true, Tag: d.Tag, Length: 100}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				k := &packets[i%flows]
+				k.Sequence += 100
+				k.Acknowledgement++
+				plane.Decide(time.Second, k)
+			}
+		})
+	}
+}
+
+func BenchmarkNewFlow(b *testing.B) {
+	for _, size := range []struct{ services, targets int }{{2, 14}, {2, 150}, {800, 11_000}} {
+		b.Run(fmt.Sprint(size.targets), func(b *testing.B) {
+			plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+			plane.SetView(fleet(size.services, size.targets))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				k := packet.Packet{
+					Flow:        packet.Flow{Client: clientAddress(i % (1 << 20)), Service: serviceAddress(i % size.services)},
+					Synchronize: true, Sequence: uint32(i),
+				}
+				plane.Decide(time.Duration(i)*time.Microsecond, &k)
+			}
+		})
+	}
+}
+
+func BenchmarkSetView(b *testing.B) {
+	for _, size := range []struct{ services, targets int }{{2, 14}, {2, 150}, {800, 11_000}} {
+		b.Run(fmt.Sprint(size.targets), func(b *testing.B) {
+			plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+			views := [2]*packet.View{fleet(size.services, size.targets), fleet(size.services, size.targets)}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				plane.SetView(views[i%2])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/packet/script_test.go
@@ -0,0 +1,168 @@
+package packet_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"oriolevalve/internal/packet"
+
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write the expected output of the scripted tests")
+
+func TestMain(m *testing.M) {
+	// A fixed seed makes every run of the property tests equal.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// script is the input of a scripted test. A target's key is its place in the
+// view of the step, counted from 1 in the order of first appearance.
+type script struct {
+	DataCentre string `json:"data_centre"`
+	Hosts      int    `json:"hosts"`
+	Steps      []step `json:"steps"`
+}
+
+type step struct {
+	At   int64 `json:"at_ms"`
+	View *struct {
+		Routes []struct {
+			Address  netip.AddrPort `json:"address"`
+			Services []string       `json:"services"`
+		} `json:"routes"`
+		Targets []struct {
+			Name       string `json:"name"`
+			Service    string `json:"service"`
+			DataCentre string `json:"data_centre"`
+			State      string `json:"state"`
+		} `json:"targets"`
+		Complete bool `json:"complete"`
+	} `json:"view"`
+	Packet *struct {
+		Client  string `json:"client"`
+		Service string `json:"service"`
+		// Flags holds S, A, F and R.
+		Flags  string `json:"flags"`
+		Tag    string `json:"tag"`
+		Seq    uint32 `json:"seq"`
+		Ack    uint32 `json:"ack"`
+		Length int    `json:"length"`
+	} `json:"packet"`
+	Sweeps int `json:"sweeps"`
+	// Repeat makes as many clients do the same.
+	Repeat int `json:"repeat"`
+}
+
+var states = map[string]packet.TargetState{
+	"": packet.Accepting, "draining": packet.Draining, "departed": packet.Departed, "gone": packet.Gone,
+}
+
+var actions = map[packet.Action]string{packet.Drop: "drop", packet.Forward: "forward", packet.Refuse: "refuse"}
+
+func (s *script) run() string {
+	plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+	keys, names := map[string]packet.TargetKey{}, map[packet.TargetKey]string{0: "-"}
+	key := func(name string) packet.TargetKey {
+		if _, found := keys[name]; !found {
+			keys[name] = packet.TargetKey(len(keys) + 1)
+			names[keys[name]] = name
+		}
+		return keys[name]
+	}
+	var out strings.Builder
+	for _, step := range s.Steps {
+		now := time.Duration(step.At) * time.Millisecond
+		if v := step.View; v != nil {
+			var routes []packet.Route
+			for _, r := range v.Routes {
+				route := packet.Route{Address: r.Address, Idle: 12 * time.Second}
+				for _, service := range r.Services {
+					route.Services = append(route.Services, packet.ServiceShare{Service: service, Weight: 1})
+				}
+				routes = append(routes, route)
+			}
+			var targets []packet.Target
+			for _, t := range v.Targets {
+				targets = append(targets, packet.Target{
+					Key: key(t.Name), Name: t.Name, Service: t.Service, DataCentre: t.DataCentre, Slots: 2, State: states[t.State],
+				})
+			}
+			plane.SetView(packet.NewView(s.DataCentre, max(1, s.Hosts), routes, targets, v.Complete))
+			fmt.Fprintf(&out, "%dms view: %d routes, %d targets\n", step.At, len(routes), len(targets))
+		}
+		for range step.Sweeps {
+			plane.Sweep(now)
+		}
+		if step.Sweeps > 0 {
+			fmt.Fprintf(&out, "%dms swept: %d flows\n", step.At, plane.Flows())
+		}
+		if step.Packet == nil {
+			continue
+		}
+		p := step.Packet
+		client := netip.MustParseAddrPort(p.Client)
+		counts := map[string]int{}
+		for i := range max(1, step.Repeat) {
+			k := packet.Packet{
+				Flow: packet.Flow{
+					Client:  netip.AddrPortFrom(client.Addr(), client.Port()+uint16(i)),
+					Service: netip.MustParseAddrPort(p.Service),
+				},
+				Sequence: p.Seq, Acknowledgement: p.Ack, Length: p.Length,
+				Synchronize: strings.Contains(p.Flags, "S"), Acknowledge: strings.Contains(p.Flags, "A"),
+				End: strings.Contains(p.Flags, "F"), Reset: strings.Contains(p.Flags, "R"),
+			}
+			if p.Tag != "" {
+				k.Tag = key(p.Tag).Tag()
+			}
+			d := plane.Decide(now, &k)
+			counts[fmt.Sprintf("%s %s %s", actions[d.Action], names[d.Target], d.Reason)]++
+		}
+		for _, outcome := range sorted(counts) {
+			fmt.Fprintf(&out, "%dms %s %s seq=%d ack=%d: %s", step.At, p.Client, p.Flags, p.Seq, p.Ack, outcome)
+			if step.Repeat > 0 {
+				fmt.Fprintf(&out, " x%d", counts[outcome])
+			}
+			fmt.Fprintln(&out)
+		}
+	}
+	return out.String()
+}
+
+// Guards the decisions on packets: where a flow opens, what holds it there, and
+// what is refused or dropped.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/scripts/*/input.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		directory := filepath.Dir(path)
+		t.Run(filepath.Base(directory), func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			require.NoError(t, err)
+			var s script
+			decoder := json.NewDecoder(strings.NewReader(string(data)))
+			decoder.DisallowUnknownFields()
+			require.NoError(t, decoder.Decode(&s))
+			expected := filepath.Join(directory, "expected.txt")
+			if *update {
+				require.NoError(t, os.WriteFile(expected, []byte(s.run()), 0o644))
+			}
+			want, err := os.ReadFile(expected)
+			require.NoError(t, err)
+			require.Equal(t, string(want), s.run())
+		})
+	}
+}
