Treat every list as the start of what a host can tell others

Cause: a host that listed the store twice offered the changes in between from memory, but never saw objects that came and went; another host that had seen one kept it as listed and would have sent flows to a target that left. Also: the first repeat of a failed call no longer waits for the host's rank; a host of rank 5 whose call was lost knew 3.2 s old news against a bound of 3 s.

--- a/internal/catalog/asking.go
+++ b/internal/catalog/asking.go
@@ -22,8 +22,8 @@
 	askStep  = 100 * time.Millisecond
 	askRanks = 6
 	// retryDelay is the pause after the first failed call; it doubles up to
-	// retryLimit, and each rank adds retryStep: one host that reaches the store
-	// is enough for all.
+	// retryLimit. From the second failure on each rank adds retryStep: one host
+	// that reaches the store is enough for all.
 	retryDelay = 200 * time.Millisecond
 	retryLimit = 800 * time.Millisecond
 	retryStep  = 100 * time.Millisecond
@@ -107,7 +107,10 @@
 	case HistoryGone:
 		a.lost, a.next = true, now
 	case Failed:
-		a.next = now + min(retryLimit, retryDelay<<min(a.failures, 4)) + retryStep*time.Duration(min(rank, retryRanks))
+		a.next = now + min(retryLimit, retryDelay<<min(a.failures, 4))
+		if a.failures > 0 {
+			a.next += retryStep * time.Duration(min(rank, retryRanks))
+		}
 		a.failures++
 	}
 }
--- /dev/null
+++ b/internal/catalog/asking_test.go
@@ -0,0 +1,96 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"oriolevalve/internal/catalog"
+
+	"github.com/stretchr/testify/require"
+)
+
+// bound is the least bound on the age in the deployments of today.
+const bound = 3 * time.Second
+
+// Guards against knowledge older than its bound while the store answers some
+// call: a host whose watch falls silent, whose next call is lost too, and that
+// hears nothing of others, must have an answer before the bound.
+func TestLostCallsStayWithinTheBound(t *testing.T) {
+	for _, rank := range []int{0, 1, 5, 90} {
+		c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
+		call, due := a.Next(c, rank, 0)
+		require.True(t, due)
+		require.True(t, call.List)
+		c.Merge(catalog.Targets, catalog.Batch{Whole: true, Revision: 5}, 0, 0)
+		a.Done(catalog.Answered, rank, 0)
+		lost, oldest := 0, time.Duration(0)
+		var ends time.Duration
+		for now := time.Duration(0); now < 4*bound; now += 10 * time.Millisecond {
+			age, _ := c.Age(catalog.Targets, now)
+			oldest = max(oldest, age)
+			if ends == 0 {
+				if call, due = a.Next(c, rank, now); due {
+					require.Equal(t, uint64(5), call.Since)
+					ends = now + call.Timeout()
+					if lost++; lost > 1 {
+						ends = now + call.Wait + 10*time.Millisecond
+					}
+				}
+			}
+			if ends > 0 && now >= ends {
+				ends = 0
+				if lost == 1 {
+					a.Done(catalog.Failed, rank, now)
+					continue
+				}
+				c.Merge(catalog.Targets, catalog.Batch{Since: 5, Revision: 5}, now, now)
+				a.Done(catalog.Answered, rank, now)
+			}
+		}
+		require.Less(t, oldest, bound, "rank %d", rank)
+	}
+}
+
+// Guards against a host that asks while others keep it informed, and against a
+// fleet that asks a failing store at the rate of its hosts.
+func TestInformedHostsDoNotAsk(t *testing.T) {
+	c, a := catalog.New(), catalog.NewAsker(catalog.Configurations, bound, 0)
+	c.Merge(catalog.Configurations, catalog.Batch{Whole: true, Revision: 5}, 0, 0)
+	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+		// Confirmations are up to a watch and a few rounds of gossip old.
+		if now%(500*time.Millisecond) == 0 {
+			c.Confirm(catalog.Configurations, c.State(catalog.Configurations, now), now-900*time.Millisecond, now)
+		}
+		_, due := a.Next(c, 1, now)
+		require.False(t, due, "at %s", now)
+	}
+	calls := map[int]int{}
+	for _, rank := range []int{0, 40} {
+		a := catalog.NewAsker(catalog.Configurations, bound, 0)
+		for now := time.Minute + 2*bound; now < 2*time.Minute+2*bound; now += 10 * time.Millisecond {
+			if _, due := a.Next(c, rank, now); due {
+				calls[rank]++
+				a.Done(catalog.Failed, rank, now)
+			}
+		}
+	}
+	require.InDelta(t, 75, calls[0], 10)
+	require.Less(t, calls[40], 20)
+}
+
+// Guards against a watch that is repeated on a history that is gone.
+func TestLostHistoryIsListed(t *testing.T) {
+	c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
+	c.Merge(catalog.Targets, catalog.Batch{Whole: true, Revision: 5}, 0, 0)
+	call, due := a.Next(c, 0, 1)
+	require.True(t, due)
+	require.False(t, call.List)
+	_, due = a.Next(c, 0, 1)
+	require.False(t, due, "two calls at once")
+	a.Done(catalog.HistoryGone, 0, 2)
+	call, due = a.Next(c, 0, 2)
+	require.True(t, due && call.List)
+	a.Done(catalog.Answered, 0, 3)
+	call, due = a.Next(c, 0, 3)
+	require.True(t, due && !call.List)
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -209,10 +209,8 @@
 			l.apply(&Object{Name: name, Revision: o.Revision, Deleted: true}, b.Revision, now)
 		}
 	}
-	if !l.valid {
-		l.horizon = b.Revision
-	}
-	l.revision = b.Revision
+	// Objects that came and went before the batch were never seen here.
+	l.horizon, l.revision = b.Revision, b.Revision
 }
 
 // apply adds one change. Changes that the collection already has are left out.
