Agree on who watches and answer stale messages

Cause: in a simulation of the gossip, calls to the store grew with the hosts (66, 173 and 574 a minute for 8, 91 and 300): a message named four hosts drawn at random, so distant hosts took the first in order for dead and watched too, and others asked because confirmations came late. Change: messages name the first in each order; a host answers a message whose state is older than its own by more than an interval. Draws use a list in place of a sorted map. After: 63, 66 and 174 a minute; changes are everywhere within 3 s with a third of the hosts turned away, the first hosts stopped, or a data centre cut off, at 1 to 300 hosts.

--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -5,7 +5,6 @@
 package gossip
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,8 +25,9 @@
 	// forgetLimit is the time after which a silent host is no longer contacted. It
 	// exceeds the partitions that a fleet sees in a day without a new start.
 	forgetLimit = 2 * time.Minute
-	// contacts is the number of other hosts that a message names.
-	contacts = 4
+	// contacts is the number of hosts that a message names beside those that
+	// watch.
+	contacts = 3
 )
 
 // Host is a host as others reach it.
@@ -44,6 +44,17 @@
 	Age int64 `json:"age_ms"`
 }
 
+// NeedsAnswer reports whether a message calls for an answer with the state of a
+// collection: the sender knows less, or its knowledge is older by more than an
+// interval. Answers spread news in half the rounds.
+func NeedsAnswer(m *Message, own, other catalog.State) bool {
+	if m.Answer || !own.Valid {
+		return false
+	}
+	return !other.Valid || own.Revision > other.Revision && own.Sum != other.Sum ||
+		other.Age-own.Age > Interval.Milliseconds()
+}
+
 // Message is what a host tells another one.
 type Message struct {
 	From Host `json:"from"`
@@ -67,7 +78,10 @@
 	self    Host
 	seeds   []string
 	members map[string]*member
-	random  *rand.Rand
+	// list holds the members in a fixed order, for draws that depend on the seed
+	// only.
+	list   []*member
+	random *rand.Rand
 }
 
 // NewMembership returns the membership of a host that knows only the addresses
@@ -92,9 +106,14 @@
 		return
 	}
 	o := m.members[h.ID]
-	if o == nil || o.Host != h {
+	if o == nil {
 		o = &member{rank: xxh3.HashString(h.ID)}
 		m.members[h.ID] = o
+		m.list = append(m.list, o)
+	}
+	if o.Host != h {
+		// The host was replaced: what was heard of the old one says nothing.
+		o.heard = heard
 	}
 	o.Host, o.heard, o.leaving = h, max(heard, o.heard), leaving
 }
@@ -102,7 +121,7 @@
 // Alive returns the number of other hosts that are alive.
 func (m *Membership) Alive(now time.Duration) int {
 	count := 0
-	for _, o := range m.members {
+	for _, o := range m.list {
 		if o.alive(now) {
 			count++
 		}
@@ -113,7 +132,7 @@
 // Local returns the number of live hosts of the own data centre, with this one.
 func (m *Membership) Local(now time.Duration) int {
 	count := 1
-	for _, o := range m.members {
+	for _, o := range m.list {
 		if o.DataCentre == m.self.DataCentre && o.alive(now) {
 			count++
 		}
@@ -128,7 +147,7 @@
 // does all the work.
 func (m *Membership) Rank(kind catalog.Kind, now time.Duration) int {
 	own, place := order(xxh3.HashString(m.self.ID), kind), 0
-	for _, o := range m.members {
+	for _, o := range m.list {
 		if o.alive(now) && order(o.rank, kind) < own {
 			place++
 		}
@@ -148,11 +167,16 @@
 // joins the parts of a fleet again after a partition. A host that knows no live
 // one speaks to all seeds.
 func (m *Membership) Partners(now time.Duration) []string {
+	m.list = slices.DeleteFunc(m.list, func(o *member) bool {
+		forgotten := now-o.heard > forgetLimit
+		if forgotten {
+			delete(m.members, o.ID)
+		}
+		return forgotten
+	})
 	var local, remote, silent []string
-	for id, o := range m.members {
+	for _, o := range m.list {
 		switch {
-		case now-o.heard > forgetLimit:
-			delete(m.members, id)
 		case !o.alive(now):
 			silent = append(silent, o.Address)
 		case o.DataCentre == m.self.DataCentre:
@@ -181,21 +205,37 @@
 	if len(group) == 0 {
 		return nil
 	}
-	// Map iteration has no fixed order; the draw must depend on the seed only.
-	slices.Sort(group)
 	i := m.random.IntN(len(group))
 	return group[i : i+1]
 }
 
-// Contacts returns some live hosts for a message.
+// Contacts returns live hosts for a message: for each collection the first in
+// its order, so that all hosts agree on who watches, and some others.
 func (m *Membership) Contacts(now time.Duration) []Contact {
 	var list []Contact
-	for _, o := range m.members {
-		if o.alive(now) {
+	var first [catalog.KindCount]*member
+	for _, o := range m.list {
+		if !o.alive(now) {
+			continue
+		}
+		for i := range first {
+			if kind := catalog.Kind(i); first[i] == nil || order(o.rank, kind) < order(first[i].rank, kind) {
+				first[i] = o
+			}
+		}
+	}
+	named := make([]*member, 0, len(first)+contacts)
+	add := func(o *member) {
+		if o != nil && o.alive(now) && !slices.Contains(named, o) {
+			named = append(named, o)
 			list = append(list, Contact{Host: o.Host, Age: (now - o.heard).Milliseconds()})
 		}
 	}
-	slices.SortFunc(list, func(a, b Contact) int { return cmp.Compare(a.ID, b.ID) })
-	m.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), contacts)]
+	for _, o := range first {
+		add(o)
+	}
+	for range min(contacts, len(m.list)) {
+		add(m.list[m.random.IntN(len(m.list))])
+	}
+	return list
 }
--- /dev/null
+++ b/internal/gossip/membership_test.go
@@ -0,0 +1,239 @@
+package gossip_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"oriolevalve/internal/catalog"
+	"oriolevalve/internal/gossip"
+
+	"github.com/stretchr/testify/require"
+)
+
+// host is a host of a simulated fleet, without sockets.
+type host struct {
+	gossip.Host
+	members *gossip.Membership
+	catalog *catalog.Catalog
+	asker   *catalog.Asker
+	down    bool
+}
+
+// fleet plays hosts, the gossip between them and a store in steps of a tick.
+type fleet struct {
+	hosts     map[string]*host
+	order     []*host
+	random    *rand.Rand
+	now       time.Duration
+	revision  uint64
+	calls     int
+	messages  int
+	refused   func(h *host) bool
+	separated func(a, b *host) bool
+	running   map[*host]time.Duration
+	called    map[*host]catalog.Call
+}
+
+const (
+	tick  = 50 * time.Millisecond
+	bound = 3 * time.Second
+)
+
+func newFleet(count int, seed uint64) *fleet {
+	f := &fleet{
+		hosts: map[string]*host{}, random: rand.New(rand.NewPCG(seed, 1)), revision: 1,
+		refused: func(*host) bool { return false }, separated: func(*host, *host) bool { return false },
+		running: map[*host]time.Duration{}, called: map[*host]catalog.Call{},
+	}
+	for i := range count {
+		f.add(i)
+	}
+	return f
+}
+
+func (f *fleet) add(i int) *host {
+	h := &host{Host: gossip.Host{ID: fmt.Sprint("h", i), DataCentre: string(rune('a' + i%3)), Address: fmt.Sprint("10.0.0.", i)}}
+	h.members = gossip.NewMembership(h.Host, []string{"10.0.0.0", "10.0.0.1", "10.0.0.2"}, f.random)
+	h.catalog, h.asker = catalog.New(), catalog.NewAsker(catalog.Targets, bound, f.now+tick)
+	f.hosts[h.Address] = h
+	f.order = append(f.order, h)
+	return h
+}
+
+func (f *fleet) message(h *host) gossip.Message {
+	m := gossip.Message{From: h.Host, Contacts: h.members.Contacts(f.now)}
+	m.States[catalog.Targets] = h.catalog.State(catalog.Targets, f.now)
+	return m
+}
+
+func (f *fleet) deliver(from, to *host, m gossip.Message) {
+	f.messages++
+	if to == nil || to.down || f.separated(from, to) {
+		return
+	}
+	to.members.Hear(&m, f.now)
+	state := m.States[catalog.Targets]
+	complete := f.now - time.Duration(state.Age)*time.Millisecond
+	if to.catalog.Confirm(catalog.Targets, state, complete, f.now) {
+		own := to.catalog.State(catalog.Targets, f.now)
+		since := own.Revision
+		if !own.Valid {
+			since = 0
+		}
+		to.catalog.Merge(catalog.Targets, from.catalog.Changes(catalog.Targets, since), complete, f.now)
+		return
+	}
+	if gossip.NeedsAnswer(&m, to.catalog.State(catalog.Targets, f.now), state) {
+		answer := f.message(to)
+		answer.Answer, answer.Contacts = true, nil
+		f.deliver(to, from, answer)
+	}
+}
+
+// step plays one tick.
+func (f *fleet) step() {
+	f.now += tick
+	for _, h := range f.order {
+		if h.down {
+			continue
+		}
+		f.ask(h)
+		if f.now%gossip.Interval == 0 {
+			for _, address := range h.members.Partners(f.now) {
+				f.deliver(h, f.hosts[address], f.message(h))
+			}
+		}
+	}
+}
+
+func (f *fleet) ask(h *host) {
+	rank := h.members.Rank(catalog.Targets, f.now)
+	if call, due := h.asker.Next(h.catalog, rank, f.now); due {
+		f.calls++
+		f.called[h], f.running[h] = call, f.now+min(call.Wait, bound)
+	}
+	ends, running := f.running[h]
+	call := f.called[h]
+	if !running || f.now < ends && (f.refused(h) || call.List || f.revision == call.Since) {
+		return
+	}
+	delete(f.running, h)
+	if f.refused(h) {
+		h.asker.Done(catalog.Failed, rank, f.now)
+		return
+	}
+	b := catalog.Batch{Whole: call.List, Since: call.Since, Revision: f.revision}
+	if f.revision > call.Since {
+		b.Objects = []catalog.Object{{Name: "t", Revision: f.revision, Target: &catalog.Target{Key: f.revision}}}
+	}
+	h.catalog.Merge(catalog.Targets, b, f.now, f.now)
+	h.asker.Done(catalog.Answered, rank, f.now)
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.step()
+	}
+}
+
+// behind returns the live hosts that do not know the store's last change.
+func (f *fleet) behind() []string {
+	var list []string
+	for _, h := range f.order {
+		if !h.down && h.catalog.State(catalog.Targets, f.now).Revision < f.revision {
+			list = append(list, h.ID)
+		}
+	}
+	return list
+}
+
+// Guards against a host that learns a change too late: because it must hear of
+// it from others, because the hosts that watch stop, or because the store turns
+// a third of the hosts away. Each change must be everywhere within the bound.
+func TestChangeIsKnownEverywhereWithinTheBound(t *testing.T) {
+	for _, count := range []int{1, 6, 8, 91, 300} {
+		for _, fault := range []string{"none", "watchers_stop", "turned_away", "data_centre_cut"} {
+			t.Run(fmt.Sprint(count, "/", fault), func(t *testing.T) {
+				f := newFleet(count, uint64(count))
+				f.run(8 * time.Second)
+				require.Empty(t, f.behind())
+				switch {
+				case fault == "watchers_stop" && count > 1:
+					for _, h := range f.order {
+						if h.members.Rank(catalog.Targets, f.now) < max(1, count/20) {
+							h.down = true
+						}
+					}
+				case fault == "turned_away" && count > 1:
+					turned := map[*host]bool{}
+					for _, h := range f.order {
+						turned[h] = h.members.Rank(catalog.Targets, f.now) < (count+2)/3
+					}
+					f.refused = func(h *host) bool { return turned[h] }
+				case fault == "data_centre_cut":
+					f.separated = func(a, b *host) bool { return (a.DataCentre == "a") != (b.DataCentre == "a") }
+				}
+				for range 4 {
+					f.revision++
+					f.run(bound)
+					require.Empty(t, f.behind(), "at %s", f.now)
+				}
+			})
+		}
+	}
+}
+
+// Guards against calls that grow with the hosts of the fleet: in calm times the
+// calls for one minute are those of a few watches.
+func TestCallsDoNotGrowWithHosts(t *testing.T) {
+	calls := map[int]int{}
+	for _, count := range []int{8, 91, 300} {
+		f := newFleet(count, 7)
+		f.run(10 * time.Second)
+		f.calls = 0
+		f.run(20 * time.Second)
+		calls[count] = f.calls
+	}
+	t.Log(calls)
+	// One watch ends every 0.9 s. Three hosts may take themselves for the first.
+	for count, n := range calls {
+		require.Less(t, n, 3*23, "%d hosts", count)
+	}
+}
+
+// Guards against a host that finds nobody because its seeds are down, and
+// against a fleet that stays in two parts after a partition.
+func TestFleetJoinsAgain(t *testing.T) {
+	f := newFleet(12, 3)
+	f.run(5 * time.Second)
+	for _, h := range f.order[:2] {
+		h.down = true
+	}
+	late := f.add(12)
+	f.run(3 * time.Second)
+	require.Equal(t, 10, late.members.Alive(f.now))
+	f.separated = func(a, b *host) bool { return (a.DataCentre == "a") != (b.DataCentre == "a") }
+	f.run(10 * time.Second)
+	require.Less(t, late.members.Alive(f.now), 10)
+	f.separated = func(*host, *host) bool { return false }
+	f.run(6 * time.Second)
+	require.Equal(t, 10, late.members.Alive(f.now))
+}
+
+// Guards against a message that makes a host believe in itself twice or in a
+// host without an address.
+func TestStrangeMessages(t *testing.T) {
+	m := gossip.NewMembership(gossip.Host{ID: "h1", DataCentre: "a", Address: "10.0.0.1"}, nil, rand.New(rand.NewPCG(1, 2)))
+	m.Hear(&gossip.Message{From: gossip.Host{ID: "h1", DataCentre: "a", Address: "10.0.0.9"}}, 1)
+	m.Hear(&gossip.Message{From: gossip.Host{}, Contacts: []gossip.Contact{{Host: gossip.Host{ID: "h3"}}}}, 1)
+	require.Zero(t, m.Alive(1))
+	require.Empty(t, m.Partners(1))
+	m.Hear(&gossip.Message{From: gossip.Host{ID: "h2", DataCentre: "a", Address: "10.0.0.2"}}, 1)
+	require.Equal(t, 1, m.Alive(1))
+	require.Equal(t, 2, m.Local(1))
+	m.Hear(&gossip.Message{From: gossip.Host{ID: "h2", DataCentre: "a", Address: "10.0.0.2"}, Leaving: true}, 2)
+	require.Zero(t, m.Alive(2))
+	require.Zero(t, m.Rank(catalog.Targets, 2))
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -310,7 +310,10 @@
 			ID: c.node.settings.HostID, DataCentre: c.node.settings.DataCentre,
 			Address: c.socket.LocalAddr().(*net.UDPAddr).AddrPort().Addr().String(),
 		},
-		Leaving: c.leaving, Contacts: c.members.Contacts(now), Answer: answer,
+		Leaving: c.leaving, Answer: answer,
+	}
+	if !answer {
+		m.Contacts = c.members.Contacts(now)
 	}
 	for kind := range m.States {
 		m.States[kind] = c.catalog.State(catalog.Kind(kind), now)
@@ -368,10 +371,9 @@
 			c.fetch(kind, m.From.Address)
 			continue
 		}
-		own := c.catalog.State(kind, now)
-		behind = behind || own.Valid && (!state.Valid || own.Revision > state.Revision && own.Sum != state.Sum)
+		behind = behind || gossip.NeedsAnswer(m, c.catalog.State(kind, now), state)
 	}
-	if !behind || m.Answer {
+	if !behind {
 		return
 	}
 	data, err := json.Marshal(c.message(now, true))
