--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -144,6 +144,7 @@
 		// The client waited in vain for an answer of the target.
 		f.copies = k.Acknowledgement
 		f.target.repeat(now)
+		f.target.unanswered = true
 		next := p.place(now, route, f.target, f.previous)
 		if next == nil || next == f.target {
 			return forward(f.target, ReasonCopy)
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -5,8 +5,8 @@
 // The belief about a target that follows from the packets of its flows.
 const (
 	// silenceLimit is the time without progress on any flow, after a client
-	// repeated a packet, until a target gets no new flows. A client's first two
-	// repeats come after 200 ms and 600 ms.
+	// repeated data, until a target gets no new flows. A client's first two
+	// repeats come after 200 ms and 600 ms; one alone may mean a long request.
 	silenceLimit = 500 * time.Millisecond
 	// silenceRetry is the time after which a silent target is tried again.
 	silenceRetry = 3 * time.Second
@@ -33,13 +33,16 @@
 	// if there was none.
 	silentSince time.Duration
 	repeats     int
+	// unanswered is set if a client repeated an opening packet since the last
+	// progress. A target answers those at once, however busy it is.
+	unanswered bool
 	// response is the mean response time; zero before the first.
 	response time.Duration
 	listed   bool
 }
 
 // progress notes a sign of life.
-func (t *targetRecord) progress() { t.silentSince, t.repeats = 0, 0 }
+func (t *targetRecord) progress() { t.silentSince, t.repeats, t.unanswered = 0, 0, false }
 
 // repeat notes that a client repeated a packet that the target did not answer.
 func (t *targetRecord) repeat(now time.Duration) {
@@ -51,7 +54,7 @@
 
 // silent reports whether the target seems dead.
 func (t *targetRecord) silent(now time.Duration) bool {
-	if t.silentSince == 0 || t.repeats < 2 {
+	if t.silentSince == 0 {
 		return false
 	}
 	silence := now - t.silentSince
@@ -59,7 +62,7 @@
 		t.progress()
 		return false
 	}
-	return silence >= silenceLimit
+	return t.unanswered || t.repeats >= 2 && silence >= silenceLimit
 }
 
 func (t *targetRecord) answered(after time.Duration) {
