Leave the rotation while cut off from all hosts with old knowledge; keep the last readable configuration

Cause, by reading: a host that the store turns away and that is cut off from all others would go on placing flows by old news, although the fabric could send them to other hosts; a configuration that can't be read took the last one out of force. Tests failed first for the configuration.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -245,6 +245,10 @@
 		}
 	}
 	entry := &known{Object: *o, noted: noted}
+	if !o.Deleted && o.Configuration == nil && old != nil {
+		// A configuration that can't be read leaves the last one in force.
+		entry.Configuration = old.Configuration
+	}
 	l.objects[o.Name] = entry
 	if !o.Deleted {
 		l.sum ^= objectSum(&entry.Object)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -220,6 +220,18 @@
 	}
 }
 
+// Guards against a configuration that can't be read and takes the last valid one
+// out of force, also at hosts that fetch it later.
+func TestUnreadableConfigurationLeavesTheLastOne(t *testing.T) {
+	c, other := catalog.New(), catalog.New()
+	valid := &catalog.Configuration{Version: 4}
+	c.Merge(catalog.Configurations, catalog.Batch{Whole: true, Revision: 3, Objects: []catalog.Object{{Name: "main", Revision: 3, Configuration: valid}}}, 1, 1)
+	c.Merge(catalog.Configurations, catalog.Batch{Since: 3, Revision: 4, Objects: []catalog.Object{{Name: "main", Revision: 4}}}, 2, 2)
+	require.Equal(t, valid, c.Configuration())
+	other.Merge(catalog.Configurations, c.Changes(catalog.Configurations, 0), 3, 3)
+	require.Equal(t, valid, other.Configuration())
+}
+
 // Guards against memory that grows with every target that ever left, and
 // against a host that lags behind what is remembered and misses a deletion.
 func TestDeletionsAreForgotten(t *testing.T) {
--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -67,6 +67,10 @@
 		if err != nil {
 			return errors.Wrap(err, "accepting a connection")
 		}
+		// A caller that was cut off never ends its connection.
+		if err := connection.SetDeadline(time.Now().Add(2 * FetchLimit)); err != nil {
+			return errors.CombineErrors(errors.Wrap(err, "setting the deadline"), connection.Close())
+		}
 		go server.ServeConn(connection)
 	}
 }
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -129,6 +129,12 @@
 	return count
 }
 
+// Isolated reports whether the host knows others, of which none is alive for it:
+// more likely it is cut off than all of them are down.
+func (m *Membership) Isolated(now time.Duration) bool {
+	return len(m.list) > 0 && m.Alive(now) == 0
+}
+
 // Local returns the number of live hosts of the own data centre, with this one.
 func (m *Membership) Local(now time.Duration) int {
 	count := 1
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -214,11 +214,21 @@
 	late := f.add(12)
 	f.run(3 * time.Second)
 	require.Equal(t, 10, late.members.Alive(f.now))
+	// A host that is cut off from all others knows it; the last host of a fleet
+	// and one that just started do not count as cut off.
+	f.separated = func(a, b *host) bool { return a == late || b == late }
+	f.run(bound)
+	for _, h := range f.order {
+		require.Equal(t, h == late, !h.down && h.members.Isolated(f.now))
+	}
+	require.False(t, f.add(13).members.Isolated(f.now))
+	f.order[len(f.order)-1].down = true
 	f.separated = func(a, b *host) bool { return (a.DataCentre == "a") != (b.DataCentre == "a") }
 	f.run(10 * time.Second)
 	require.Less(t, late.members.Alive(f.now), 10)
 	f.separated = func(*host, *host) bool { return false }
 	f.run(6 * time.Second)
+	require.False(t, late.members.Isolated(f.now))
 	require.Equal(t, 10, late.members.Alive(f.now))
 }
 
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -42,6 +42,7 @@
 
 	NodeStarted           = "node_started"
 	NodeReady             = "node_ready"
+	NodeNotReady          = "node_not_ready"
 	NodeStopping          = "node_stopping"
 	NodeStopped           = "node_stopped"
 	SettingsReloaded      = "settings_reloaded"
@@ -75,7 +76,7 @@
 		PeerJoined, PeerSuspect, PeerDead, PeerLeaving, PeerUnreachable,
 		OwnershipTaken, OwnershipReleased, HandoverSent, HandoverReceived, HandoverFailed,
 		TargetEjected, TargetReturned,
-		NodeStarted, NodeReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
+		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
 		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, ChangesNotFetched,
 		FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, ListenerAnswersFailed,
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -123,6 +123,7 @@
 func (c *control) leave() {
 	c.do(func() {
 		c.leaving = true
+		c.noteReady(c.node.now())
 		c.speak()
 	})
 }
@@ -232,6 +233,7 @@
 	if configuration == nil || !known {
 		return
 	}
+	defer c.noteReady(now)
 	members, complete := c.catalog.Members(now)
 	basis := viewBasis{complete: complete, hosts: c.members.Local(now)}
 	for kind := range basis.states {
@@ -250,9 +252,27 @@
 	}
 	c.shown = basis
 	c.node.view.Store(packet.NewView(c.node.settings.DataCentre, basis.hosts, routes(configuration), targets(members, now), complete))
-	if !c.leaving && c.node.ready.CompareAndSwap(false, true) {
-		c.node.log.Info(logs.NodeReady, zap.Uint64("configuration", configuration.Version), zap.Int("targets", len(members)))
+}
+
+// noteReady asks the fabric for packets, or to send them to other hosts while
+// this one is cut off from them and what it knows is old.
+func (c *control) noteReady(now time.Duration) {
+	oldest := time.Duration(0)
+	for kind := range catalog.KindCount {
+		age, _ := c.catalog.Age(kind, now)
+		oldest = max(oldest, age)
+	}
+	isolated := c.members.Isolated(now)
+	ready := !c.leaving && !(isolated && oldest > c.node.settings.KnowledgeAge.Std())
+	if c.node.ready.Swap(ready) == ready {
+		return
+	}
+	event := logs.NodeReady
+	if !ready {
+		event = logs.NodeNotReady
 	}
+	c.node.log.Info(event, zap.Uint64("configuration", c.node.metrics.version.Load()), zap.Duration("age", oldest),
+		zap.Bool("isolated", isolated), zap.Bool("leaving", c.leaving), zap.Int("alive", c.members.Alive(now)))
 }
 
 func routes(c *catalog.Configuration) []packet.Route {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,7 +186,6 @@
 	select {
 	case err = <-failures:
 	case <-ctx.Done():
-		n.ready.Store(false)
 		control.leave()
 		n.log.Info(logs.NodeStopping, zap.Duration("wait", n.settings.StopWait.Std()))
 		select {
