Count opening flows as requests and bound a target's recent flows

Cause: in a simulation of the return of all clients after the loss of all power, 200 requests at 14 targets that hold 210 were rejected in part: the 2 ms between a flow's opening and its request hid 20 flows from the placement, and the use of the slots was sampled four times a second. A target that rejects requests at once looked idle and drew 582 of 749 flows. Change: an opening flow counts as a request in progress; the use is averaged over 300 ms at each placement; a target takes no more than one and a half times the mean of its group's flows of the last second.

--- /dev/null
+++ b/internal/packet/load_test.go
@@ -0,0 +1,234 @@
+package packet_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"oriolevalve/internal/packet"
+
+	"github.com/stretchr/testify/require"
+)
+
+// server is a target with slots and a queue, in simulated time.
+type server struct {
+	slots, queue int
+	// running holds the ends of the requests in progress, waiting those that wait.
+	running []time.Duration
+	waiting []*request
+	shed    int
+	started int
+}
+
+// request is a request on a flow of its own.
+type request struct {
+	flow           packet.Flow
+	plane          *packet.Plane
+	tag            uint32
+	target         packet.TargetKey
+	started, ended time.Duration
+	work           time.Duration
+	shed           bool
+}
+
+// site is a fleet of planes and servers in steps of a millisecond.
+type site struct {
+	planes  []*packet.Plane
+	servers map[packet.TargetKey]*server
+	cut     func(packet.TargetKey) bool
+	now     time.Duration
+	clients int
+	later   map[time.Duration][]func()
+	done    []*request
+	lost    int
+}
+
+// newSite returns hosts in the data centre a and targets of one service: as
+// many in a, b and c as given.
+func newSite(hosts int, targets [3]int, slots, queue int) *site {
+	s := &site{servers: map[packet.TargetKey]*server{}, later: map[time.Duration][]func(){}, cut: func(packet.TargetKey) bool { return false }}
+	var list []packet.Target
+	for dc, n := range targets {
+		for range n {
+			key := packet.TargetKey(len(list) + 1)
+			list = append(list, packet.Target{Key: key, Service: "s", DataCentre: string(rune('a' + dc)), Slots: slots})
+			s.servers[key] = &server{slots: slots, queue: queue}
+		}
+	}
+	routes := []packet.Route{{Address: serviceAddress(0), Services: []packet.ServiceShare{{Service: "s", Weight: 1}}}}
+	for i := range hosts {
+		plane := packet.NewPlane(rand.New(rand.NewPCG(uint64(i), 9)))
+		plane.SetView(packet.NewView("a", hosts, routes, list, true))
+		s.planes = append(s.planes, plane)
+	}
+	return s
+}
+
+func (s *site) at(d time.Duration, f func()) { s.later[s.now+d] = append(s.later[s.now+d], f) }
+
+// arrive plays the opening packet of a request through a host.
+func (s *site) arrive(plane *packet.Plane, work time.Duration) {
+	s.clients++
+	r := &request{
+		plane: plane, flow: packet.Flow{Client: clientAddress(s.clients), Service: serviceAddress(0)}, started: s.now, work: work,
+	}
+	k := packet.Packet{Flow: r.flow, Synchronize: true, Sequence: 1}
+	d := plane.Decide(s.now, &k)
+	if d.Action != packet.Forward || s.cut(d.Target) {
+		s.lost++
+		return
+	}
+	r.target, r.tag = d.Target, d.Tag
+	s.at(2*time.Millisecond, func() {
+		plane.Decide(s.now, &packet.Packet{Flow: r.flow, Acknowledge: true, Tag: r.tag, Sequence: 2, Acknowledgement: 1, Length: 100})
+		s.serve(r)
+	})
+}
+
+func (s *site) serve(r *request) {
+	v := s.servers[r.target]
+	switch {
+	case len(v.running) < v.slots:
+		s.begin(v, r)
+	case len(v.waiting) < v.queue:
+		v.waiting = append(v.waiting, r)
+	default:
+		v.shed++
+		r.shed = true
+		s.answer(r)
+	}
+}
+
+func (s *site) begin(v *server, r *request) {
+	v.started++
+	v.running = append(v.running, s.now+r.work)
+	s.at(r.work, func() {
+		v.running = v.running[1:]
+		s.answer(r)
+		if len(v.waiting) > 0 {
+			next := v.waiting[0]
+			v.waiting = v.waiting[1:]
+			s.begin(v, next)
+		}
+	})
+}
+
+// answer plays the client's packets after the answer.
+func (s *site) answer(r *request) {
+	r.ended = s.now
+	s.done = append(s.done, r)
+	r.plane.Decide(s.now, &packet.Packet{Flow: r.flow, Acknowledge: true, End: true, Tag: r.tag, Sequence: 102, Acknowledgement: 600})
+}
+
+// run plays a time with so many arrivals a second, spread over the hosts.
+func (s *site) run(d time.Duration, rate float64, work time.Duration, random *rand.Rand) {
+	due := 0.0
+	for end := s.now + d; s.now < end; {
+		s.now += time.Millisecond
+		for _, f := range s.later[s.now] {
+			f()
+		}
+		delete(s.later, s.now)
+		for due += rate / 1000; due >= 1; due-- {
+			s.arrive(s.planes[random.IntN(len(s.planes))], (work/2 + time.Duration(random.Int64N(int64(work)))).Round(time.Millisecond))
+		}
+		if s.now%(250*time.Millisecond) == 0 {
+			for _, p := range s.planes {
+				p.Sweep(s.now)
+			}
+		}
+	}
+}
+
+// Answers the pattern of the loss of all power: the first host that is back gets
+// the requests of all clients at once. Guards against a target that sheds
+// requests while another one has room: the fund's 14 targets hold 210 requests,
+// so 200 must all be taken.
+func TestCrowdAtOneHostFillsAllTargets(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	s := newSite(1, [3]int{5, 5, 4}, 3, 12)
+	s.run(20*time.Millisecond, 10_000, 72*time.Millisecond, random)
+	require.Equal(t, 200, s.clients)
+	s.run(time.Second, 0, time.Millisecond, random)
+	for key, v := range s.servers {
+		require.Zero(t, v.shed, "target %d", key)
+		require.Positive(t, v.started, "target %d", key)
+	}
+	require.Len(t, s.done, 200)
+}
+
+// Answers the pattern of a data centre that is cut off: its hosts go on serving
+// with its own targets. Guards against new flows at targets that can't be
+// reached while the own ones have free slots, and against a fleet that never
+// spreads: at one and a half times what the own targets can do, the others must
+// take the rest.
+func TestDataCentreServesItself(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	work := 29 * time.Millisecond
+	capacity := 5 * 2 / work.Seconds()
+	s := newSite(3, [3]int{5, 5, 4}, 2, 8)
+	s.run(3*time.Second, 0.4*capacity, work, random)
+	s.cut = func(k packet.TargetKey) bool { return k > 5 }
+	s.run(6*time.Second, 0.4*capacity, work, random)
+	require.Zero(t, s.lost)
+	s.cut = func(packet.TargetKey) bool { return false }
+	before := len(s.done)
+	s.run(6*time.Second, 1.5*capacity, work, random)
+	late, shed := 0, 0
+	for _, r := range s.done[before:] {
+		switch {
+		case r.shed:
+			shed++
+		case r.ended-r.started > 150*time.Millisecond:
+			late++
+		}
+	}
+	t.Logf("of %d requests at 1.5 times the local capacity %d are late and %d rejected", len(s.done)-before, late, shed)
+	// The head office asks for an answer in 150 ms, and for 90% of the worth.
+	require.Less(t, late+shed, (len(s.done)-before)/10)
+}
+
+// Answers the pattern of targets that die without a word: they take no more than
+// the openings of one client's patience each. Guards against hosts that learn
+// nothing from openings without an answer.
+func TestDeadTargetsAreAvoided(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	s := newSite(1, [3]int{5, 5, 4}, 2, 8)
+	s.run(2*time.Second, 100, 20*time.Millisecond, random)
+	s.cut = func(k packet.TargetKey) bool { return k <= 2 }
+	plane := s.planes[0]
+	lost := 0
+	for i := range 300 {
+		s.run(10*time.Millisecond, 0, time.Millisecond, random)
+		flow := packet.Flow{Client: clientAddress(100_000 + i), Service: serviceAddress(0)}
+		d := plane.Decide(s.now, &packet.Packet{Flow: flow, Synchronize: true, Sequence: 1})
+		if !s.cut(d.Target) {
+			plane.Decide(s.now, &packet.Packet{Flow: flow, Acknowledge: true, Tag: d.Tag, Sequence: 2, Acknowledgement: 9})
+			continue
+		}
+		lost++
+		s.at(200*time.Millisecond, func() {
+			plane.Decide(s.now, &packet.Packet{Flow: flow, Synchronize: true, Sequence: 1, Acknowledgement: 1})
+		})
+	}
+	// In the 200 ms until the first repeat, 20 flows open at five local targets;
+	// after 3 s each target is tried once more.
+	require.LessOrEqual(t, lost, 20)
+}
+
+// Answers the pattern of a target that is broken but answers at once: it looks
+// idle and draws the flows of all others. Guards against more than half again
+// its fair share of the flows.
+func TestRejectingTargetDrawsNoMoreThanItsBound(t *testing.T) {
+	random := rand.New(rand.NewPCG(9, 10))
+	s := newSite(1, [3]int{5, 5, 4}, 2, 8)
+	s.servers[1].slots, s.servers[1].queue = 0, 0
+	s.run(5*time.Second, 150, 20*time.Millisecond, random)
+	local := s.servers[1].shed
+	for key := packet.TargetKey(2); key <= 5; key++ {
+		local += s.servers[key].started
+	}
+	t.Logf("%d of %d flows went to the target that rejects them", s.servers[1].shed, local)
+	// The mean of a second of flows lags a little behind, and a few are free.
+	require.Less(t, float64(s.servers[1].shed), 1.7/5*float64(local))
+}
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -149,9 +149,9 @@
 		if next == nil || next == f.target {
 			return forward(f.target, ReasonCopy)
 		}
-		f.target.open--
-		next.open++
-		f.previous, f.target = f.target, next
+		p.release(f)
+		next.opened(now)
+		f.previous, f.target, f.active = f.target, next, true
 		return forward(next, ReasonPlacedAgain)
 	}
 	target := p.place(now, route, nil, nil)
@@ -166,9 +166,9 @@
 	}
 	*f = flowRecord{
 		target: target, syn: k.Sequence, copies: k.Acknowledgement, next: k.Sequence + 1,
-		seen: now, idle: route.Idle,
+		active: true, requested: now, seen: now, idle: route.Idle,
 	}
-	target.open++
+	target.opened(now)
 	return forward(target, ReasonPlaced)
 }
 
@@ -182,9 +182,9 @@
 	if f.state == flowOpening {
 		// The tag of the first acknowledgement names the target that answered.
 		if t := p.tags[k.Tag]; t != nil && t != f.target {
-			f.target.open--
-			t.open++
-			f.target = t
+			p.release(f)
+			t.opened(now)
+			f.target, f.active = t, true
 		}
 		f.state, f.acknowledged = flowOpen, k.Acknowledgement
 		f.target.progress()
--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -14,9 +14,18 @@
 	// from there on requests wait for a slot longer than the way takes.
 	spillStart = 1.0
 	spillFull  = 2.0
-	// useWeight is the weight of a new sample in the mean use. With a sample each
-	// 250 ms the mean follows a crowd within a second.
-	useWeight = 0.25
+	// useSpan is the time over which the use is averaged: several requests, so that
+	// chance does not count as a crowd.
+	useSpan = 300 * time.Millisecond
+	// recentSpan is the time over which a target's new flows are counted.
+	recentSpan = time.Second
+	// recentBound is the number of recent flows, as a multiple of the mean of the
+	// group, beyond which a target takes none: one that rejects requests at once
+	// looks idle and would draw all of them. recentFree flows are always allowed.
+	recentBound = 1.5
+	recentFree  = 4.0
+	// overBound is a load that exceeds that of any target under the bound.
+	overBound = 1e9
 )
 
 // service groups the targets that take new flows of a service. Flows stay in
@@ -28,7 +37,10 @@
 	response time.Duration
 	// use is the mean number of requests in progress at the local targets, by the
 	// host's own count and the number of hosts, for each of their slots.
-	use float64
+	use      float64
+	measured time.Duration
+	// hosts is the number of hosts that share the local targets.
+	hosts int
 }
 
 func (s *service) clear() { s.local, s.remote = s.local[:0], s.remote[:0] }
@@ -43,15 +55,11 @@
 	s.remote = append(s.remote, t)
 }
 
-// measure renews the mean values. The hosts of a data centre get like shares of
-// its flows.
+// measure renews the mean response time.
 func (s *service) measure(hosts int) {
+	s.hosts = hosts
 	var sum time.Duration
-	count, active, slots := 0, 0, 0
-	for _, t := range s.local {
-		active += t.active
-		slots += t.Slots
-	}
+	count := 0
 	for _, group := range [][]*targetRecord{s.local, s.remote} {
 		for _, t := range group {
 			if t.response > 0 {
@@ -64,16 +72,20 @@
 	if count > 0 {
 		s.response = sum / time.Duration(count)
 	}
-	if slots > 0 {
-		s.use += useWeight * (float64(active*hosts)/float64(slots) - s.use)
-	}
 }
 
+// share returns the part of a mean over a span that the time since the last
+// sample makes up.
+func share(elapsed, span time.Duration) float64 { return min(1, float64(elapsed)/float64(span)) }
+
 // place returns a target for a new flow that is neither of the excluded ones,
 // or nil if there is none. Silent targets come last.
 func (s *service) place(now time.Duration, random *rand.Rand, excluded, alsoExcluded *targetRecord) *targetRecord {
 	local := s.least(now, random, s.local, excluded, alsoExcluded)
 	remote := s.least(now, random, s.remote, excluded, alsoExcluded)
+	// The hosts of a data centre get like shares of its flows.
+	s.use += share(now-s.measured, useSpan) * (local.use*float64(s.hosts) - s.use)
+	s.measured = now
 	switch {
 	case local.target == nil:
 		return remote.target
@@ -110,16 +122,24 @@
 	if len(group) == 0 {
 		return best
 	}
-	active, slots := 0, 0
-	offset := random.IntN(len(group))
-	for i := range min(len(group), scanLimit) {
+	active, slots, recent := 0, 0, 0.0
+	offset, count := random.IntN(len(group)), min(len(group), scanLimit)
+	for i := range count {
 		t := group[(offset+i)%len(group)]
 		active += t.active
 		slots += t.Slots
+		recent += t.recentFlows(now)
+	}
+	bound := recentFree + recentBound*recent/float64(count)
+	for i := range count {
+		t := group[(offset+i)%len(group)]
 		if t == excluded || t == alsoExcluded {
 			continue
 		}
 		load, silent := t.load(now, s.response), t.silent(now)
+		if t.recent > bound {
+			load += overBound
+		}
 		if best.target == nil || best.silent && !silent || best.silent == silent && load < best.load {
 			best = candidate{target: t, load: load, silent: silent}
 		}
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -15,9 +15,6 @@
 	responseWeight = 1.0 / 8
 	// coldFactor is the load of a target in its warm-up against a warm one.
 	coldFactor = 2.0
-	// remoteFactor is the load of a target in another data centre against a local
-	// one when both are compared: a distant one must be clearly less busy.
-	remoteFactor = 1.25
 	// activeWeight is the weight of a request in progress against that of an open
 	// flow: most open flows are between two requests.
 	activeWeight = 4.0
@@ -36,6 +33,10 @@
 	// unanswered is set if a client repeated an opening packet since the last
 	// progress. A target answers those at once, however busy it is.
 	unanswered bool
+	// recent is the number of new flows, fading over recentSpan; counted is the
+	// time up to which it has faded.
+	recent  float64
+	counted time.Duration
 	// response is the mean response time; zero before the first.
 	response time.Duration
 	listed   bool
@@ -52,6 +53,20 @@
 	}
 }
 
+// recentFlows returns the number of recent new flows.
+func (t *targetRecord) recentFlows(now time.Duration) float64 {
+	t.recent -= share(now-t.counted, recentSpan) * t.recent
+	t.counted = now
+	return t.recent
+}
+
+// opened notes a new flow, whose client has a request to make.
+func (t *targetRecord) opened(now time.Duration) {
+	t.recent = t.recentFlows(now) + 1
+	t.open++
+	t.active++
+}
+
 // silent reports whether the target seems dead.
 func (t *targetRecord) silent(now time.Duration) bool {
 	if t.silentSince == 0 {
@@ -84,8 +99,5 @@
 	if now < t.ColdUntil {
 		load *= coldFactor
 	}
-	if !t.local {
-		load *= remoteFactor
-	}
 	return load
 }
