--- a/internal/catalog/asking.go
+++ b/internal/catalog/asking.go
@@ -22,7 +22,7 @@
 	askStep  = 100 * time.Millisecond
 	askRanks = 6
 	// retryDelay is the pause after the first failed call; it doubles up to
-	// retryLimit. From the second failure on each rank adds retryStep: one host
+	// retryLimit, but for hosts without a catalog, which can't serve. From the second failure on each rank adds retryStep: one host
 	// that reaches the store is enough for all.
 	retryDelay = 200 * time.Millisecond
 	retryLimit = 800 * time.Millisecond
@@ -56,8 +56,9 @@
 	running  bool
 	failures int
 	next     time.Duration
-	// lost is set if the store no longer has the changes.
-	lost bool
+	// lost is set if the store no longer has the changes, empty if the host has no
+	// catalog at all.
+	lost, empty bool
 }
 
 // NewAsker returns the asker of a collection whose age must stay under a bound.
@@ -75,6 +76,7 @@
 	}
 	age, valid := c.Age(a.kind, now)
 	call := Call{Kind: a.kind, Since: c.collections[a.kind].revision}
+	a.empty = !valid
 	switch {
 	case !valid || a.lost:
 		call.List = true
@@ -107,7 +109,11 @@
 	case HistoryGone:
 		a.lost, a.next = true, now
 	case Failed:
-		a.next = now + min(retryLimit, retryDelay<<min(a.failures, 4))
+		delay := min(retryLimit, retryDelay<<min(a.failures, 4))
+		if a.empty {
+			delay = retryDelay
+		}
+		a.next = now + delay
 		if a.failures > 0 {
 			a.next += retryStep * time.Duration(min(rank, retryRanks))
 		}
--- a/internal/catalog/asking_test.go
+++ b/internal/catalog/asking_test.go
@@ -94,3 +94,18 @@
 	call, due = a.Next(c, 0, 3)
 	require.True(t, due && !call.List)
 }
+
+// Guards against hosts without a catalog that stay idle after the store is back:
+// nothing is served before the first of them has one.
+func TestHostWithoutCatalogAsksOften(t *testing.T) {
+	c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
+	last := time.Duration(0)
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		if _, due := a.Next(c, 0, now); due {
+			require.LessOrEqual(t, now-last, 250*time.Millisecond)
+			last = now
+			a.Done(catalog.Failed, 0, now)
+		}
+	}
+	require.Greater(t, last, 9*time.Second)
+}
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -6,6 +6,10 @@
 )
 
 const (
+	// prepareLimit is the time after the start from which a host without a view
+	// refuses new flows. Until then the client's next copy, 200 ms or 400 ms later,
+	// is likely to find it prepared.
+	prepareLimit = time.Second
 	// handshakeLimit is the time after which an opening that was not completed is
 	// forgotten. A client gives up 1.4 s after its first packet.
 	handshakeLimit = 2 * time.Second
@@ -117,10 +121,13 @@
 	}
 }
 
-// Decide returns what to do with a packet. The time is that of the plane's own
-// clock and does not go back.
+// Decide returns what to do with a packet. The time is that since the start of
+// the host and does not go back.
 func (p *Plane) Decide(now time.Duration, k *Packet) Decision {
-	if p.view == nil {
+	switch {
+	case p.view == nil && k.Synchronize && now > prepareLimit:
+		return Decision{Action: Refuse, Reason: ReasonNoConfiguration}
+	case p.view == nil:
 		return Decision{Action: Drop, Reason: ReasonNoConfiguration}
 	}
 	if k.Synchronize {
