--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -54,6 +54,10 @@
 	ConfigurationAdopted  = "configuration_adopted"
 	TargetsChanged        = "targets_changed"
 	ChangesNotFetched     = "changes_not_fetched"
+	TargetSilent          = "target_silent"
+	TargetAnswers         = "target_answers"
+	TargetListed          = "target_listed"
+	TargetRemoved         = "target_removed"
 	FlowPlaced            = "flow_placed"
 	FlowPlacedAgain       = "flow_placed_again"
 	FlowAdopted           = "flow_adopted"
@@ -78,7 +82,7 @@
 		TargetEjected, TargetReturned,
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
 		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, ChangesNotFetched,
-		FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
+		TargetSilent, TargetAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, ListenerAnswersFailed,
 	}
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -22,6 +22,14 @@
 // "warn" or "error". Dropped is called for each line that the limit on repeats
 // leaves out, such as Dropped.Add; it may be nil. Each line has the host's identifier.
 func New(sink zapcore.WriteSyncer, level, host string, dropped func(), options ...zap.Option) (*zap.Logger, error) {
+	return NewWithRepeats(sink, level, host, repeatFirst, dropped, options...)
+}
+
+// NewWithRepeats returns a logger like New that writes so many lines of an event
+// in each second before it leaves lines out.
+func NewWithRepeats(
+	sink zapcore.WriteSyncer, level, host string, first int, dropped func(), options ...zap.Option,
+) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
@@ -30,7 +38,7 @@
 		TimeKey: "time", LevelKey: "level", MessageKey: "event",
 		EncodeTime: zapcore.RFC3339NanoTimeEncoder, EncodeLevel: zapcore.LowercaseLevelEncoder, EncodeDuration: zapcore.StringDurationEncoder,
 	})
-	core := zapcore.NewSamplerWithOptions(zapcore.NewCore(encoder, sink, parsed), repeatInterval, repeatFirst, repeatShare,
+	core := zapcore.NewSamplerWithOptions(zapcore.NewCore(encoder, sink, parsed), repeatInterval, first, repeatShare,
 		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
 			if decision&zapcore.LogDropped > 0 && dropped != nil {
 				dropped()
@@ -38,3 +46,11 @@
 		}))
 	return zap.New(core, options...).With(zap.String("host", host)), nil
 }
+
+// Cause returns the field of an error, without its stack.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -159,7 +159,7 @@
 	now := c.node.now()
 	outcome := catalog.Answered
 	c.node.log.Debug(logs.StoreAsked, zap.Stringer("collection", call.Kind), zap.Bool("list", call.List), zap.Duration("wait", call.Wait),
-		zap.Int("rank", c.rank(call.Kind, now)), zap.Duration("after", now-started), zap.Int("objects", len(batch.Objects)), zap.Error(err))
+		zap.Int("rank", c.rank(call.Kind, now)), zap.Duration("after", now-started), zap.Int("objects", len(batch.Objects)), logs.Cause(err))
 	switch {
 	case errors.Is(err, catalog.ErrHistoryGone):
 		outcome = catalog.HistoryGone
@@ -194,12 +194,12 @@
 		c.node.log.Info(logs.StoreReachable, zap.Stringer("collection", call.Kind), zap.Duration("after", after))
 		return
 	}
-	c.node.log.Warn(logs.StoreUnreachable, zap.Stringer("collection", call.Kind), zap.Duration("after", after), zap.Error(err))
+	c.node.log.Warn(logs.StoreUnreachable, zap.Stringer("collection", call.Kind), zap.Duration("after", after), logs.Cause(err))
 }
 
 func (c *control) malformed(kind catalog.Kind, name string, revision uint64, reason error) {
 	c.node.log.Warn(logs.ObjectMalformed, zap.Stringer("collection", kind), zap.String("name", name),
-		zap.Uint64("revision", revision), zap.Error(reason))
+		zap.Uint64("revision", revision), logs.Cause(reason))
 }
 
 // merge adds what the store or another host said, and passes news on at once.
@@ -216,6 +216,7 @@
 	}
 	if kind == catalog.Targets {
 		c.node.log.Info(logs.TargetsChanged, fields...)
+		c.logTargets(batch)
 		return
 	}
 	if configuration := c.catalog.Configuration(); configuration != nil {
@@ -224,6 +225,23 @@
 	}
 }
 
+// namedTargets is the number of targets of one answer that get a line each.
+const namedTargets = 50
+
+func (c *control) logTargets(batch catalog.Batch) {
+	for i := range min(len(batch.Objects), namedTargets) {
+		o := &batch.Objects[i]
+		switch {
+		case o.Deleted:
+			c.node.log.Info(logs.TargetRemoved, zap.String("target", o.Name), zap.Uint64("revision", o.Revision))
+		case o.Target != nil:
+			c.node.log.Info(logs.TargetListed, zap.String("target", o.Name), zap.Uint64("revision", o.Revision),
+				zap.String("service", o.Target.Service), zap.Stringer("address", o.Target.Address), zap.Bool("draining", o.Target.Draining),
+				zap.Int64("warmup_ms", o.Target.Warmup))
+		}
+	}
+}
+
 // show publishes a view if it would differ from the last one.
 func (c *control) show() {
 	now := c.node.now()
@@ -316,7 +334,7 @@
 	c.spoken = now
 	data, err := json.Marshal(c.message(now, false))
 	if err != nil {
-		c.node.log.Error(logs.GossipMessageNotSent, zap.Error(err))
+		c.node.log.Error(logs.GossipMessageNotSent, logs.Cause(err))
 		return
 	}
 	for _, address := range c.members.Partners(now) {
@@ -344,11 +362,11 @@
 func (c *control) tell(address string, data []byte) {
 	to, err := netip.ParseAddr(address)
 	if err != nil {
-		c.node.log.Warn(logs.GossipMessageNotSent, zap.String("to", address), zap.Error(err))
+		c.node.log.Warn(logs.GossipMessageNotSent, zap.String("to", address), logs.Cause(err))
 		return
 	}
 	if err := send(c.socket, data, netip.AddrPortFrom(to, c.port)); err != nil {
-		c.node.log.Warn(logs.GossipMessageNotSent, zap.String("to", address), zap.Error(err))
+		c.node.log.Warn(logs.GossipMessageNotSent, zap.String("to", address), logs.Cause(err))
 	}
 }
 
@@ -365,7 +383,7 @@
 		}
 		var m gossip.Message
 		if err := json.Unmarshal(buffer[:length], &m); err != nil {
-			c.node.log.Warn(logs.GossipMessageRefused, zap.Stringer("from", from), zap.Error(err))
+			c.node.log.Warn(logs.GossipMessageRefused, zap.Stringer("from", from), logs.Cause(err))
 			continue
 		}
 		select {
@@ -398,7 +416,7 @@
 	}
 	data, err := json.Marshal(c.message(now, true))
 	if err != nil {
-		c.node.log.Error(logs.GossipMessageNotSent, zap.Error(err))
+		c.node.log.Error(logs.GossipMessageNotSent, logs.Cause(err))
 		return
 	}
 	c.tell(m.From.Address, data)
@@ -423,7 +441,7 @@
 		c.do(func() {
 			c.fetching[kind] = false
 			if err != nil {
-				c.node.log.Warn(logs.ChangesNotFetched, zap.Stringer("collection", kind), zap.Stringer("from", to), zap.Error(err))
+				c.node.log.Warn(logs.ChangesNotFetched, zap.Stringer("collection", kind), zap.Stringer("from", to), logs.Cause(err))
 				return
 			}
 			c.merge(kind, batch, started-age, to.Addr().String())
@@ -459,7 +477,7 @@
 func (c *control) reload() {
 	s, err := c.node.loadAgain()
 	if err != nil {
-		c.node.log.Warn(logs.SettingsRefused, zap.Error(err))
+		c.node.log.Warn(logs.SettingsRefused, logs.Cause(err))
 		return
 	}
 	s.Listen, s.StoreAddress = c.node.settings.Listen, c.node.settings.StoreAddress
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -28,6 +28,8 @@
 	ages          [catalog.KindCount]prometheus.Gauge
 	flows         prometheus.Gauge
 	gossipDropped prometheus.Counter
+	linesRepeated prometheus.Counter
+	decisionTime  prometheus.Histogram
 	// version is the configuration in force.
 	version atomic.Uint64
 }
@@ -40,6 +42,13 @@
 			Namespace: namespace, Name: "gossip_dropped_total", Help: "Messages of hosts dropped because the host was busy.",
 		}),
 	}
+	m.linesRepeated = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines left out because their event repeated.",
+	})
+	m.decisionTime = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "decision_duration_seconds", Help: "Time of the decision on a new flow.",
+		Buckets: prometheus.ExponentialBuckets(1e-6, 4, 8),
+	})
 	decisions := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "packets_total", Help: "Packets by action and reason.",
 	}, []string{"action", "reason"})
@@ -60,12 +69,19 @@
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
 		}
 	}
-	m.registry.MustRegister(decisions, calls, ages, m.flows, m.gossipDropped)
+	m.registry.MustRegister(decisions, calls, ages, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime)
 	return m
 }
 
 func (m *metrics) decided(a packet.Action, r packet.Reason) { m.decisions[a][r].Inc() }
 
+// countUnwritten shows the number of lines that were not written.
+func (m *metrics) countUnwritten(count func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "log_lines_unwritten_total", Help: "Log lines dropped because the log's reader was slow.",
+	}, func() float64 { return float64(count()) }))
+}
+
 func (m *metrics) called(k catalog.Kind, o catalog.Outcome) { m.calls[k][o].Inc() }
 
 func (m *metrics) aged(c *catalog.Catalog, now time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,15 @@
 // WithLog sets the logger.
 func WithLog(l *zap.Logger) Option { return func(n *Node) { n.log = l } }
 
+// WithDroppedLines counts the log lines that were left out: those that a limit
+// on repeats dropped, and those that a slow reader of the log left no room for.
+func WithDroppedLines(repeated *logs.Dropped, unwritten func() uint64) Option {
+	return func(n *Node) {
+		repeated.Bind(n.metrics.linesRepeated.Inc)
+		n.metrics.countUnwritten(unwritten)
+	}
+}
+
 // WithRandom sets the source of random numbers.
 func WithRandom(random func() *rand.Rand) Option { return func(n *Node) { n.random = random } }
 
@@ -196,6 +205,6 @@
 	stop()
 	<-stopped
 	err = errors.CombineErrors(err, l.close())
-	n.log.Info(logs.NodeStopped, zap.Error(err))
+	n.log.Info(logs.NodeStopped, logs.Cause(err))
 	return err
 }
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -52,6 +52,9 @@
 			n.metrics.flows.Set(float64(plane.Flows()))
 		}
 		d := plane.Decide(now, &k)
+		if k.Synchronize {
+			n.metrics.decisionTime.Observe((n.now() - now).Seconds())
+		}
 		n.metrics.decided(d.Action, d.Reason)
 		switch d.Action {
 		case packet.Forward:
@@ -65,11 +68,14 @@
 			return nil
 		}
 		if err != nil {
-			n.log.Warn(logs.PacketNotSent, zap.Stringer("client", k.Flow.Client), zap.Error(err))
+			n.log.Warn(logs.PacketNotSent, zap.Stringer("client", k.Flow.Client), logs.Cause(err))
 		}
 		if d.Reason != packet.ReasonOpen {
 			n.logDecision(&k, &d)
 		}
+		for _, b := range plane.Beliefs() {
+			n.logBelief(b)
+		}
 	}
 }
 
@@ -102,3 +108,12 @@
 		zap.Stringer("reason", d.Reason), zap.Uint32("tag", k.Tag), zap.Uint32("copy", k.Acknowledgement),
 		zap.Uint64("target", uint64(d.Target)), zap.Uint64("configuration", n.metrics.version.Load()))
 }
+
+func (n *Node) logBelief(b packet.Belief) {
+	if !b.Silent {
+		n.log.Info(logs.TargetAnswers, zap.String("target", b.Target), zap.Bool("retried", b.Retried))
+		return
+	}
+	n.log.Warn(logs.TargetSilent, zap.String("target", b.Target), zap.Int("repeats", b.Repeats),
+		zap.Bool("opening_unanswered", b.Unanswered), zap.Duration("silence", b.Silence))
+}
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -56,6 +56,42 @@
 	tags     map[uint32]*targetRecord
 	services map[string]*service
 	sweep    []Flow
+	beliefs  []Belief
+}
+
+// Belief is a change of what the plane thinks of a target.
+type Belief struct {
+	Target string
+	// Silent is set if the target gets no new flows while others answer.
+	Silent bool
+	// Repeats is the number of packets that clients repeated, Unanswered is set if
+	// an opening packet was among them.
+	Repeats    int
+	Unanswered bool
+	// Silence is the time since the first of them.
+	Silence time.Duration
+	// Retried is set if the target gets flows again only because it was silent for
+	// long.
+	Retried bool
+}
+
+// Beliefs returns the changes since the last call.
+func (p *Plane) Beliefs() []Belief {
+	changes := p.beliefs
+	p.beliefs = nil
+	return changes
+}
+
+// reconsider notes whether the belief about a target has changed.
+func (p *Plane) reconsider(now time.Duration, t *targetRecord) {
+	b := Belief{Target: t.Name, Repeats: t.repeats, Unanswered: t.unanswered, Silence: now - t.silentSince}
+	b.Retried = t.silentSince != 0 && b.Silence > silenceRetry
+	b.Silent = t.silent(now)
+	if b.Silent == t.doubted {
+		return
+	}
+	t.doubted = b.Silent
+	p.beliefs = append(p.beliefs, b)
 }
 
 // NewPlane returns a plane without a view: it drops every packet.
@@ -152,6 +188,7 @@
 		f.copies = k.Acknowledgement
 		f.target.repeat(now)
 		f.target.unanswered = true
+		p.reconsider(now, f.target)
 		next := p.place(now, route, f.target, f.previous)
 		if next == nil || next == f.target {
 			return forward(f.target, ReasonCopy)
@@ -196,6 +233,7 @@
 		f.state, f.acknowledged = flowOpen, k.Acknowledgement
 		f.target.progress()
 	}
+	defer p.reconsider(now, f.target)
 	p.observe(now, f, k)
 	if f.target.State == Gone {
 		p.forget(k.Flow, f)
--- a/internal/packet/plane_test.go
+++ b/internal/packet/plane_test.go
@@ -241,3 +241,34 @@
 		})
 	}
 }
+
+// Guards against a change of belief that is not reported, or reported with a
+// cause that it does not have: engineers read why a target got no flows.
+func TestBeliefsAreReported(t *testing.T) {
+	plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+	targets := []packet.Target{{Key: 1, Name: "one", Service: "s", DataCentre: "a", Slots: 9}}
+	routes := []packet.Route{{Address: serviceAddress(0), Services: []packet.ServiceShare{{Service: "s", Weight: 1}}}}
+	plane.SetView(packet.NewView("a", 1, routes, targets, true))
+	open := func(client int, at time.Duration, copies uint32) packet.Decision {
+		return plane.Decide(at, &packet.Packet{
+			Flow: packet.Flow{Client: clientAddress(client), Service: serviceAddress(0)}, Synchronize: true, Sequence: 1, Acknowledgement: copies,
+		})
+	}
+	acknowledge := func(client int, at time.Duration, tag uint32) {
+		plane.Decide(at, &packet.Packet{
+			Flow: packet.Flow{Client: clientAddress(client), Service: serviceAddress(0)}, Acknowledge: true, Tag: tag, Sequence: 2, Acknowledgement: 9,
+		})
+	}
+	open(1, 0, 0)
+	require.Empty(t, plane.Beliefs())
+	tag := open(1, 200*time.Millisecond, 1).Tag
+	require.Equal(t, []packet.Belief{{Target: "one", Silent: true, Repeats: 1, Unanswered: true}}, plane.Beliefs())
+	acknowledge(1, 300*time.Millisecond, tag)
+	require.Equal(t, []packet.Belief{{Target: "one", Silence: 300 * time.Millisecond}}, plane.Beliefs())
+	open(2, 5*time.Second, 0)
+	open(2, 5200*time.Millisecond, 1)
+	require.Len(t, plane.Beliefs(), 1)
+	open(3, 9*time.Second, 0)
+	open(3, 9200*time.Millisecond, 1)
+	require.Empty(t, plane.Beliefs(), "silent again after the retry")
+}
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -33,6 +33,8 @@
 	// unanswered is set if a client repeated an opening packet since the last
 	// progress. A target answers those at once, however busy it is.
 	unanswered bool
+	// doubted is set while the plane's last change of belief was to silence.
+	doubted bool
 	// recent is the number of new flows, fading over recentSpan; counted is the
 	// time up to which it has faded.
 	recent  float64
