Look at departures, not at all targets, ten times a second

Cause: the check whether the view must be made again copied every target each tick: 2 ms and 1.3 MB at 11,000 targets. After: 15 ns; benchmarks of a change (0.4 us), of the members and of a second of gossip (1.2 ms at 1,100 hosts, 4.1 KB sent).

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -170,12 +170,20 @@
 	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 	step := func(b catalog.Batch, now float64) { c.Merge(catalog.Targets, b, at(now), at(now)) }
 	states := func(now float64) string {
-		members, complete := c.Members(at(now))
+		members := c.Members(at(now))
+		counts := catalog.Departures{Complete: c.Departures(at(now)).Complete}
 		slices.SortFunc(members, func(a, b catalog.Member) int { return int(a.Key) - int(b.Key) })
-		text := fmt.Sprint(complete)
+		text := fmt.Sprint(counts.Complete)
 		for _, m := range members {
+			if m.Departed {
+				counts.Departed++
+			}
+			if m.Gone {
+				counts.Gone++
+			}
 			text += fmt.Sprintf(" %s:%v/%v", m.Name, m.Departed, m.Gone)
 		}
+		require.Equal(t, counts, c.Departures(at(now)))
 		return text
 	}
 	step(catalog.Batch{Whole: true, Revision: 10, Objects: []catalog.Object{target("a", 1, 5), target("b", 2, 6)}}, 1)
@@ -211,7 +219,7 @@
 	c.Merge(catalog.Targets, catalog.Batch{Since: 3, Revision: 4, Objects: []catalog.Object{{Name: "a", Revision: 4}}}, 2, 2)
 	for _, now := range []time.Duration{3, 10 * time.Second} {
 		c.Merge(catalog.Targets, catalog.Batch{Since: 4, Revision: 4}, now, now)
-		members, _ := c.Members(now)
+		members := c.Members(now)
 		require.Len(t, members, 2)
 		for _, m := range members {
 			require.False(t, m.Gone)
@@ -248,7 +256,7 @@
 		c.Merge(catalog.Targets, b, now, now)
 		revision += 2
 	}
-	members, _ := c.Members(2000 * time.Second)
+	members := c.Members(2000 * time.Second)
 	// One left each second, and the retention includes both its ends.
 	require.Len(t, members, 2+61)
 	b := c.Changes(catalog.Targets, 2)
@@ -259,3 +267,50 @@
 	require.False(t, c.Changes(catalog.Targets, revision-4).Whole)
 	require.Len(t, c.Changes(catalog.Targets, revision-4).Objects, 4)
 }
+
+// fill returns a catalog with so many targets.
+func fill(targets int) *catalog.Catalog {
+	c := catalog.New()
+	b := catalog.Batch{Whole: true, Revision: uint64(targets)}
+	for i := range targets {
+		b.Objects = append(b.Objects, target(fmt.Sprintf("i-%08x", i), uint64(i), uint64(i+1)))
+	}
+	c.Merge(catalog.Targets, b, 1, 1)
+	return c
+}
+
+func BenchmarkMergeChange(b *testing.B) {
+	for _, targets := range []int{14, 150, 11_000} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			c := fill(targets)
+			revision := uint64(targets)
+			b.ReportAllocs()
+			for b.Loop() {
+				revision++
+				c.Merge(catalog.Targets, catalog.Batch{
+					Since: revision - 1, Revision: revision, Objects: []catalog.Object{target("i-00000001", 1, revision)},
+				}, 1, 1)
+			}
+		})
+	}
+}
+
+func BenchmarkMembers(b *testing.B) {
+	for _, targets := range []int{14, 150, 11_000} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			c := fill(targets)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Members(2)
+			}
+		})
+	}
+}
+
+func BenchmarkDepartures(b *testing.B) {
+	c := fill(11_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Departures(2)
+	}
+}
--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -64,23 +64,49 @@
 	Departed, Gone bool
 }
 
+// Departures sums up what the time changes about targets that are not listed.
+type Departures struct {
+	Departed, Gone int
+	// Complete is set if a target that is neither listed nor departed has ended.
+	Complete bool
+}
+
+// Departures returns the counts of departed targets. It is cheap; a change means
+// that Members has changed.
+func (c *Catalog) Departures(now time.Duration) Departures {
+	l := &c.collections[Targets]
+	d := Departures{Departed: len(l.departed), Complete: c.settled(l, now)}
+	for name := range l.departed {
+		if c.gone(l, name, now) {
+			d.Gone++
+		}
+	}
+	return d
+}
+
+// settled reports whether the entries of live targets are back since the last
+// gap in the confirmations.
+func (c *Catalog) settled(l *collection, now time.Duration) bool {
+	return l.valid && now-l.settled > returnLimit && now-l.confirmed <= c.gapLimit
+}
+
+func (c *Catalog) gone(l *collection, name string, now time.Duration) bool {
+	o := l.objects[name]
+	return (o == nil || o.Deleted) && c.settled(l, now) && now-l.departed[name].at > returnLimit
+}
+
 // Members returns the listed targets of the known services and those that left
-// within the retention time. Complete is set if a target in neither has ended.
-func (c *Catalog) Members(now time.Duration) (members []Member, complete bool) {
+// within the retention time.
+func (c *Catalog) Members(now time.Duration) []Member {
 	l := &c.collections[Targets]
-	settled := l.valid && now-l.settled > returnLimit && now-l.confirmed <= c.gapLimit
+	members := make([]Member, 0, len(l.objects)+len(l.departed))
 	for name, o := range l.objects {
 		if !o.Deleted && o.Target != nil {
 			members = append(members, Member{Target: *o.Target, Name: name})
 		}
 	}
 	for name, d := range l.departed {
-		o := l.objects[name]
-		deleted := o == nil || o.Deleted
-		members = append(members, Member{
-			Target: *d.target, Name: name, Departed: true,
-			Gone: deleted && settled && now-d.at > returnLimit,
-		})
+		members = append(members, Member{Target: *d.target, Name: name, Departed: true, Gone: c.gone(l, name, now)})
 	}
-	return members, settled
+	return members
 }
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -247,3 +248,46 @@
 	require.Zero(t, m.Alive(2))
 	require.Zero(t, m.Rank(catalog.Targets, 2))
 }
+
+// BenchmarkSecond plays a second of the gossip of one host: its messages, the
+// ranks and counts of each tick, and the messages that it hears.
+func BenchmarkSecond(b *testing.B) {
+	for _, count := range []int{8, 91, 300, 1100} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			f := newFleet(count, 5)
+			for _, h := range f.order[1:] {
+				f.order[0].members.Hear(&gossip.Message{From: h.Host}, f.now)
+			}
+			h := f.order[0]
+			bytes := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				f.now += time.Millisecond
+				for range 10 {
+					h.members.Rank(catalog.Targets, f.now)
+					h.members.Rank(catalog.Configurations, f.now)
+					h.members.Local(f.now)
+					h.members.Isolated(f.now)
+				}
+				for range time.Second / gossip.Interval {
+					for range h.members.Partners(f.now) {
+						data, err := json.Marshal(f.message(h))
+						if err != nil {
+							b.Fatal(err)
+						}
+						bytes += len(data)
+						var m gossip.Message
+						if err := json.Unmarshal(data, &m); err != nil {
+							b.Fatal(err)
+						}
+						h.members.Hear(&m, f.now)
+					}
+				}
+				for _, o := range f.order[1:] {
+					h.members.Hear(&gossip.Message{From: o.Host}, f.now)
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "sent_bytes/s")
+		})
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -57,11 +57,9 @@
 
 // viewBasis tells whether a view has to be made again.
 type viewBasis struct {
-	states   [catalog.KindCount]uint64
-	gone     int
-	departed int
-	complete bool
-	hosts    int
+	states     [catalog.KindCount]uint64
+	departures catalog.Departures
+	hosts      int
 }
 
 func newControl(n *Node, socket *net.UDPConn) *control {
@@ -252,24 +250,16 @@
 		return
 	}
 	defer c.noteReady(now)
-	members, complete := c.catalog.Members(now)
-	basis := viewBasis{complete: complete, hosts: c.members.Local(now)}
+	basis := viewBasis{departures: c.catalog.Departures(now), hosts: c.members.Local(now)}
 	for kind := range basis.states {
 		basis.states[kind] = c.catalog.State(catalog.Kind(kind), now).Sum
 	}
-	for _, m := range members {
-		if m.Gone {
-			basis.gone++
-		}
-		if m.Departed {
-			basis.departed++
-		}
-	}
 	if basis == c.shown {
 		return
 	}
 	c.shown = basis
-	c.node.view.Store(packet.NewView(c.node.settings.DataCentre, basis.hosts, routes(configuration), targets(members, now), complete))
+	c.node.view.Store(packet.NewView(c.node.settings.DataCentre, basis.hosts,
+		routes(configuration), targets(c.catalog.Members(now), now), basis.departures.Complete))
 }
 
 // noteReady asks the fabric for packets, or to send them to other hosts while
