--- a/internal/catalog/asking.go
+++ b/internal/catalog/asking.go
@@ -14,6 +14,9 @@
 	// askReserve is what remains of the bound on the age when the first host that
 	// does not watch asks: two calls that are lost, and the way to other hosts.
 	askReserve = 2*AnswerLimit + 400*time.Millisecond
+	// leastAskPart is the part of a short bound from which a host asks although
+	// less than the reserve remains.
+	leastAskPart = 4
 	// watchShare is the longest wait of a watch as a share of the bound. A watch
 	// that ends empty confirms that nothing changed.
 	watchShare = 0.3
@@ -67,6 +70,9 @@
 	return &Asker{kind: kind, bound: bound, next: first}
 }
 
+// SetBound changes the bound on the age.
+func (a *Asker) SetBound(bound time.Duration) { a.bound = bound }
+
 // Next returns the call to make now, if any. The rank is the host's place among
 // the live hosts: the first one watches, the others ask only if what they know
 // has grown old.
@@ -82,7 +88,7 @@
 		call.List = true
 	case rank == 0:
 		call.Wait = time.Duration(watchShare * float64(a.bound))
-	case age < a.bound-askReserve+askStep*time.Duration(min(rank, askRanks)):
+	case age < max(a.bound-askReserve, a.bound/leastAskPart)+askStep*time.Duration(min(rank, askRanks)):
 		return Call{}, false
 	}
 	a.running = true
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -11,6 +11,7 @@
 	"oriolevalve/internal/gossip"
 	"oriolevalve/internal/logs"
 	"oriolevalve/internal/packet"
+	"oriolevalve/internal/settings"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -36,14 +37,16 @@
 // control keeps what the host knows. All its state belongs to one goroutine;
 // others pass it tasks.
 type control struct {
-	node    *Node
-	socket  *net.UDPConn
-	port    uint16
-	tasks   chan func()
-	store   Store
-	catalog *catalog.Catalog
-	members *gossip.Membership
-	askers  [catalog.KindCount]*catalog.Asker
+	node *Node
+	// settings are those in force.
+	settings settings.Node
+	socket   *net.UDPConn
+	port     uint16
+	tasks    chan func()
+	store    Store
+	catalog  *catalog.Catalog
+	members  *gossip.Membership
+	askers   [catalog.KindCount]*catalog.Asker
 	// fetching is set while changes are fetched from another host.
 	fetching [catalog.KindCount]bool
 	leaving  bool
@@ -66,9 +69,9 @@
 	local := socket.LocalAddr().(*net.UDPAddr).AddrPort()
 	self := gossip.Host{ID: n.settings.HostID, DataCentre: n.settings.DataCentre, Address: local.Addr().String()}
 	c := &control{
-		node: n, socket: socket, port: local.Port(), tasks: make(chan func(), taskLimit),
+		node: n, settings: n.settings, socket: socket, port: local.Port(), tasks: make(chan func(), taskLimit),
 		catalog: catalog.New(
-			catalog.WithRetention(n.settings.FlowLifetime.Std()), catalog.WithGapLimit(n.settings.KnowledgeAge.Std()),
+			catalog.WithRetention(n.settings.FlowLifetime.Std()), catalog.WithGapLimit(n.settings.TargetsAge.Std()),
 		),
 	}
 	var seeds []string
@@ -78,12 +81,20 @@
 	}
 	c.members = gossip.NewMembership(self, seeds, n.random())
 	for i := range c.askers {
-		c.askers[i] = catalog.NewAsker(catalog.Kind(i), n.settings.KnowledgeAge.Std(), peerWait)
+		c.askers[i] = catalog.NewAsker(catalog.Kind(i), c.bound(catalog.Kind(i)), peerWait)
 	}
 	c.store = n.newStore(c.malformed)
 	return c
 }
 
+// bound returns the bound on the age of a collection.
+func (c *control) bound(kind catalog.Kind) time.Duration {
+	if kind == catalog.Targets {
+		return c.settings.TargetsAge.Std()
+	}
+	return c.settings.ConfigurationAge.Std()
+}
+
 // run handles tasks until the context ends.
 func (c *control) run(ctx context.Context) {
 	c.context = ctx
@@ -265,13 +276,13 @@
 // noteReady asks the fabric for packets, or to send them to other hosts while
 // this one is cut off from them and what it knows is old.
 func (c *control) noteReady(now time.Duration) {
-	oldest := time.Duration(0)
+	old, oldest := false, time.Duration(0)
 	for kind := range catalog.KindCount {
 		age, _ := c.catalog.Age(kind, now)
-		oldest = max(oldest, age)
+		old, oldest = old || age > c.bound(kind), max(oldest, age)
 	}
 	isolated := c.members.Isolated(now)
-	ready := !c.leaving && !(isolated && oldest > c.node.settings.KnowledgeAge.Std())
+	ready := !c.leaving && !(isolated && old)
 	if c.node.ready.Swap(ready) == ready {
 		return
 	}
@@ -462,14 +473,18 @@
 	}
 }
 
-// reload reads the settings again. Addresses stay as they are until the next
-// start; the other settings hold at once.
+// reload reads the settings again. The bounds on ages and the wait of a stop hold
+// at once; names, addresses and the log level are those of the start.
 func (c *control) reload() {
 	s, err := c.node.loadAgain()
 	if err != nil {
 		c.node.log.Warn(logs.SettingsRefused, logs.Cause(err))
 		return
 	}
-	s.Listen, s.StoreAddress = c.node.settings.Listen, c.node.settings.StoreAddress
+	c.settings.ConfigurationAge, c.settings.TargetsAge, c.settings.StopWait = s.ConfigurationAge, s.TargetsAge, s.StopWait
+	for kind, a := range c.askers {
+		a.SetBound(c.bound(catalog.Kind(kind)))
+	}
+	c.node.stopWait.Store(int64(s.StopWait.Std()))
 	c.node.log.Info(logs.SettingsReloaded, zap.Any("settings", s))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,16 +43,18 @@
 
 // Node is a running host.
 type Node struct {
-	settings  settings.Node
-	clock     clock.Clock
-	started   time.Time
-	log       *zap.Logger
-	newStore  func(malformed func(kind catalog.Kind, name string, revision uint64, reason error)) Store
-	codec     Codec
-	random    func() *rand.Rand
-	metrics   *metrics
-	view      atomic.Pointer[packet.View]
-	ready     atomic.Bool
+	settings settings.Node
+	clock    clock.Clock
+	started  time.Time
+	log      *zap.Logger
+	newStore func(malformed func(kind catalog.Kind, name string, revision uint64, reason error)) Store
+	codec    Codec
+	random   func() *rand.Rand
+	metrics  *metrics
+	view     atomic.Pointer[packet.View]
+	ready    atomic.Bool
+	// stopWait is the setting in force, in nanoseconds.
+	stopWait  atomic.Int64
 	reload    <-chan struct{}
 	loadAgain func() (settings.Node, error)
 }
@@ -172,6 +174,7 @@
 // stops after the settings' StopWait.
 func (n *Node) Run(ctx context.Context) error {
 	n.started = n.clock.Now()
+	n.stopWait.Store(int64(n.settings.StopWait.Std()))
 	l, err := n.listen()
 	if err != nil {
 		return err
@@ -196,10 +199,11 @@
 	case err = <-failures:
 	case <-ctx.Done():
 		control.leave()
-		n.log.Info(logs.NodeStopping, zap.Duration("wait", n.settings.StopWait.Std()))
+		wait := time.Duration(n.stopWait.Load())
+		n.log.Info(logs.NodeStopping, zap.Duration("wait", wait))
 		select {
 		case err = <-failures:
-		case <-n.clock.After(n.settings.StopWait.Std()):
+		case <-n.clock.After(wait):
 		}
 	}
 	stop()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -22,9 +22,10 @@
 	// StopWait is the time for which a stopping host goes on forwarding, until
 	// the fabric sends it no more packets.
 	StopWait duration.Duration `json:"stop_wait"`
-	// KnowledgeAge is the bound on the age of what the host knows of the
-	// configuration and the targets, while it reaches the store or other hosts.
-	KnowledgeAge duration.Duration `json:"knowledge_age"`
+	// ConfigurationAge and TargetsAge bound the age of what the host knows of the
+	// configuration and of the targets, while it reaches the store or other hosts.
+	ConfigurationAge duration.Duration `json:"configuration_age"`
+	TargetsAge       duration.Duration `json:"targets_age"`
 	// FlowLifetime is the time after which a flow may be discarded.
 	FlowLifetime duration.Duration `json:"flow_lifetime"`
 	// LogLevel is "debug", "info", "warn" or "error".
@@ -46,10 +47,11 @@
 // DefaultNode returns the values of settings that a document leaves out.
 func DefaultNode() Node {
 	return Node{
-		StopWait:     duration.Duration(2 * time.Second),
-		KnowledgeAge: duration.Duration(3 * time.Second),
-		FlowLifetime: duration.Duration(time.Minute),
-		LogLevel:     "info",
+		StopWait:         duration.Duration(2 * time.Second),
+		ConfigurationAge: duration.Duration(3 * time.Second),
+		TargetsAge:       duration.Duration(3 * time.Second),
+		FlowLifetime:     duration.Duration(time.Minute),
+		LogLevel:         "info",
 	}
 }
 
@@ -95,7 +97,8 @@
 	}
 	checkAddress(&p, "store_address", n.StoreAddress)
 	checkDuration(&p, "stop_wait", n.StopWait, 0, time.Minute)
-	checkDuration(&p, "knowledge_age", n.KnowledgeAge, 2*time.Second, time.Minute)
+	checkDuration(&p, "configuration_age", n.ConfigurationAge, 500*time.Millisecond, time.Minute)
+	checkDuration(&p, "targets_age", n.TargetsAge, 500*time.Millisecond, time.Minute)
 	checkDuration(&p, "flow_lifetime", n.FlowLifetime, time.Second, 24*time.Hour)
 	checkLogLevel(&p, n.LogLevel)
 	return p
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,3 +73,26 @@
 	}
 	require.Equal(t, value, holder.Key.Reveal())
 }
+
+// Guards against a faulty document of a packet host being accepted, and against
+// a report that stops at the first problem.
+func TestParseNodeReportsEveryProblem(t *testing.T) {
+	inputs, err := filepath.Glob("testdata/node/*/input.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, inputs)
+	for _, input := range inputs {
+		directory := filepath.Dir(input)
+		t.Run(filepath.Base(directory), func(t *testing.T) {
+			data, err := os.ReadFile(input)
+			require.NoError(t, err)
+			expected, err := os.ReadFile(filepath.Join(directory, "expected.txt"))
+			require.NoError(t, err)
+			_, err = settings.ParseNode(data)
+			report := "ok"
+			if err != nil {
+				report = err.Error()
+			}
+			require.Equal(t, strings.TrimSpace(string(expected)), report)
+		})
+	}
+}
