--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -282,7 +282,7 @@
 		old, oldest = old || age > c.bound(kind), max(oldest, age)
 	}
 	isolated := c.members.Isolated(now)
-	ready := !c.leaving && !(isolated && old)
+	ready := !c.leaving && (!isolated || !old)
 	if c.node.ready.Swap(ready) == ready {
 		return
 	}
--- a/internal/peer/encode_test.go
+++ b/internal/peer/encode_test.go
@@ -22,11 +22,10 @@
 }
 
 // travel encodes and decodes a protobuf message.
-func travel[P proto.Message](t *rapid.T, in, out P) P {
+func travel(t *rapid.T, in, out proto.Message) {
 	data, err := proto.Marshal(in)
 	require.NoError(t, err)
 	require.NoError(t, proto.Unmarshal(data, out))
-	return out
 }
 
 func randomMessage(t *rapid.T) Message {
@@ -55,7 +54,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		message := randomMessage(t)
 		request := PingRequest{Target: message.Sender, Message: message}
-		gotRequest, err := pingRequestFromProto(travel(t, pingRequestToProto(request), &peerpb.PingRequest{}))
+		wirePingRequest := &peerpb.PingRequest{}
+		travel(t, pingRequestToProto(request), wirePingRequest)
+		gotRequest, err := pingRequestFromProto(wirePingRequest)
 		require.NoError(t, err)
 		require.Equal(t, request, gotRequest)
 
@@ -78,14 +79,18 @@
 		if rapid.Bool().Draw(t, "no limit") {
 			relay.NotAfter, relay.AcceptedAt, relay.FirstAt = time.Time{}, time.Time{}, time.Time{}
 		}
-		gotRelay, err := requestFromProto(travel(t, requestToProto(relay), &peerpb.Request{}))
+		wireRequest := &peerpb.Request{}
+		travel(t, requestToProto(relay), wireRequest)
+		gotRelay, err := requestFromProto(wireRequest)
 		require.NoError(t, err)
 		require.Equal(t, relay, gotRelay)
 
 		reply := rapid.Make[target.Reply]().Draw(t, "reply")
 		reply.Outcome %= target.OutcomeNotRun + 1
 		reply.Body = append(reply.Body, 1)
-		gotReply, err := replyFromProto(travel(t, replyToProto(reply), &peerpb.Reply{}))
+		wireReply := &peerpb.Reply{}
+		travel(t, replyToProto(reply), wireReply)
+		gotReply, err := replyFromProto(wireReply)
 		require.NoError(t, err)
 		require.Equal(t, reply, gotReply)
 
@@ -94,15 +99,21 @@
 		handover.Exceptions = append(handover.Exceptions, flow.Record{Key: relay.Key, Target: relay.Target})
 		handover.Assumed = append(handover.Assumed, flow.Record{Key: relay.Key, Target: relay.Base})
 		handover.Identities = append(handover.Identities, relay.Identity)
-		gotHandover, err := handoverFromProto(travel(t, handoverToProto(handover), &peerpb.Handover{}))
+		wireHandover := &peerpb.Handover{}
+		travel(t, handoverToProto(handover), wireHandover)
+		gotHandover, err := handoverFromProto(wireHandover)
 		require.NoError(t, err)
 		require.Equal(t, handover, gotHandover)
 
 		consult := rapid.Make[target.ConsultRequest]().Draw(t, "consult")
-		gotConsult, err := consultRequestFromProto(travel(t, consultRequestToProto(consult), &peerpb.ConsultRequest{}))
+		wireConsultRequest := &peerpb.ConsultRequest{}
+		travel(t, consultRequestToProto(consult), wireConsultRequest)
+		gotConsult, err := consultRequestFromProto(wireConsultRequest)
 		require.NoError(t, err)
 		require.Equal(t, consult, gotConsult)
 		known := rapid.Make[target.ConsultReply]().Draw(t, "known")
-		require.Equal(t, known, consultReplyFromProto(travel(t, consultReplyToProto(known), &peerpb.ConsultReply{})))
+		wireConsultReply := &peerpb.ConsultReply{}
+		travel(t, consultReplyToProto(known), wireConsultReply)
+		require.Equal(t, known, consultReplyFromProto(wireConsultReply))
 	})
 }
--- a/internal/target/owner.go
+++ b/internal/target/owner.go
@@ -243,10 +243,6 @@
 // Healthy reports the owner's opinion about the target.
 func (o *Owner) Healthy() bool { return !o.opinion.ejected }
 
-// ReportedLoad returns the target's last report of its own load. It is for
-// display: decisions use the owner's own counts, since reports lag or mislead.
-func (o *Owner) ReportedLoad() LoadReport { return o.report }
-
 // SessionsKnown reports whether Sessions counts every open session. After a
 // takeover without a complete handover this takes the idle timeout, since each
 // live session is seen by then.
