--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -217,6 +217,10 @@
 	if !c.catalog.Merge(kind, batch, complete, now) {
 		return
 	}
+	configuration := c.catalog.Configuration()
+	if configuration != nil {
+		c.node.metrics.version.Store(configuration.Version)
+	}
 	c.show()
 	c.speak()
 	fields := []zap.Field{
@@ -228,8 +232,7 @@
 		c.logTargets(batch)
 		return
 	}
-	if configuration := c.catalog.Configuration(); configuration != nil {
-		c.node.metrics.version.Store(configuration.Version)
+	if configuration != nil {
 		c.node.log.Info(logs.ConfigurationAdopted, append(fields, zap.Uint64("version", configuration.Version))...)
 	}
 }
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -106,7 +106,7 @@
 	n.log.Info(event,
 		zap.Stringer("client", k.Flow.Client), zap.Stringer("service", k.Flow.Service),
 		zap.Stringer("reason", d.Reason), zap.Uint32("tag", k.Tag), zap.Uint32("copy", k.Acknowledgement),
-		zap.Uint64("target", uint64(d.Target)), zap.Uint64("configuration", n.metrics.version.Load()))
+		zap.String("target", d.Name), zap.Uint64("configuration", n.metrics.version.Load()))
 }
 
 func (n *Node) logBelief(b packet.Belief) {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -94,8 +94,9 @@
 type Decision struct {
 	Action Action
 	Reason Reason
-	// Target, Address and Tag are set for Forward.
+	// Target, Name, Address and Tag are set for Forward.
 	Target  TargetKey
+	Name    string
 	Address netip.AddrPort
 	Tag     uint32
 }
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -398,5 +398,5 @@
 }
 
 func forward(t *targetRecord, reason Reason) Decision {
-	return Decision{Action: Forward, Reason: reason, Target: t.Key, Address: t.Address, Tag: t.Key.Tag()}
+	return Decision{Action: Forward, Reason: reason, Target: t.Key, Name: t.Name, Address: t.Address, Tag: t.Key.Tag()}
 }
