--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -103,10 +103,13 @@
 	if !found {
 		return
 	}
+	copies := zap.Skip()
+	if k.Synchronize {
+		copies = zap.Uint32("copy", k.Acknowledgement)
+	}
 	n.log.Info(event,
-		zap.Stringer("client", k.Flow.Client), zap.Stringer("service", k.Flow.Service),
-		zap.Stringer("reason", d.Reason), zap.Uint32("tag", k.Tag), zap.Uint32("copy", k.Acknowledgement),
-		zap.String("target", d.Name), zap.Uint64("configuration", n.metrics.version.Load()))
+		zap.Stringer("client", k.Flow.Client), zap.Stringer("service", k.Flow.Service), zap.Stringer("reason", d.Reason),
+		zap.Uint32("tag", k.Tag), copies, zap.String("target", d.Name), zap.Uint64("configuration", n.metrics.version.Load()))
 }
 
 func (n *Node) logBelief(b packet.Belief) {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -94,9 +94,10 @@
 type Decision struct {
 	Action Action
 	Reason Reason
-	// Target, Name, Address and Tag are set for Forward.
+	// Name is that of the target, if it is known.
+	Name string
+	// Target, Address and Tag are set for Forward.
 	Target  TargetKey
-	Name    string
 	Address netip.AddrPort
 	Tag     uint32
 }
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -84,12 +84,15 @@
 
 // reconsider notes whether the belief about a target has changed.
 func (p *Plane) reconsider(now time.Duration, t *targetRecord) {
-	b := Belief{Target: t.Name, Repeats: t.repeats, Unanswered: t.unanswered, Silence: now - t.silentSince}
-	b.Retried = t.silentSince != 0 && b.Silence > silenceRetry
+	b := Belief{Target: t.Name, Repeats: t.repeats, Unanswered: t.unanswered}
+	if t.silentSince != 0 {
+		b.Silence = now - t.silentSince
+	}
 	b.Silent = t.silent(now)
 	if b.Silent == t.doubted {
 		return
 	}
+	b.Retried = t.retried
 	t.doubted = b.Silent
 	p.beliefs = append(p.beliefs, b)
 }
@@ -240,7 +243,7 @@
 		if k.Reset {
 			return Decision{Action: Drop, Reason: ReasonTargetGone}
 		}
-		return Decision{Action: Refuse, Reason: ReasonTargetGone}
+		return Decision{Action: Refuse, Reason: ReasonTargetGone, Name: f.target.Name}
 	}
 	if p.view.routes[k.Flow.Service] == nil {
 		return Decision{Action: Refuse, Reason: ReasonNoRoute}
@@ -261,7 +264,11 @@
 		if k.Reset {
 			return Decision{Action: Drop, Reason: ReasonTargetGone}
 		}
-		return Decision{Action: Refuse, Reason: ReasonTargetGone}
+		d := Decision{Action: Refuse, Reason: ReasonTargetGone}
+		if t != nil {
+			d.Name = t.Name
+		}
+		return d
 	case route == nil:
 		// The host that opened the flow may know a newer configuration.
 		return forward(t, ReasonRouteUnknown)
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -35,6 +35,8 @@
 	unanswered bool
 	// doubted is set while the plane's last change of belief was to silence.
 	doubted bool
+	// retried is set if the last silence ended only because it was long.
+	retried bool
 	// recent is the number of new flows, fading over recentSpan; counted is the
 	// time up to which it has faded.
 	recent  float64
@@ -45,7 +47,9 @@
 }
 
 // progress notes a sign of life.
-func (t *targetRecord) progress() { t.silentSince, t.repeats, t.unanswered = 0, 0, false }
+func (t *targetRecord) progress() {
+	t.silentSince, t.repeats, t.unanswered, t.retried = 0, 0, false, false
+}
 
 // repeat notes that a client repeated a packet that the target did not answer.
 func (t *targetRecord) repeat(now time.Duration) {
@@ -77,6 +81,7 @@
 	silence := now - t.silentSince
 	if silence > silenceRetry {
 		t.progress()
+		t.retried = true
 		return false
 	}
 	return t.unanswered || t.repeats >= 2 && silence >= silenceLimit
