--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -74,6 +74,8 @@
 	// departed holds deleted objects with the time at which this host learned it.
 	departed   map[string]departure
 	tombstones int
+	// applied holds the changes of the last merge.
+	applied []Object
 }
 
 type departure struct {
@@ -150,6 +152,7 @@
 func (c *Catalog) Merge(kind Kind, b Batch, complete, now time.Duration) bool {
 	l := &c.collections[kind]
 	before := l.sum
+	l.applied = l.applied[:0]
 	switch {
 	case b.Whole && (!l.valid || b.Revision > l.revision):
 		l.replace(b, now)
@@ -168,6 +171,10 @@
 	return first || l.sum != before
 }
 
+// Applied returns the changes that the last merge made, with the removal of
+// objects that a whole batch left out. It is valid until the next merge.
+func (c *Catalog) Applied(kind Kind) []Object { return c.collections[kind].applied }
+
 // Confirm notes that another host, whose objects have the given state, was
 // complete at a time. It reports whether the catalog needs the other's changes.
 func (c *Catalog) Confirm(kind Kind, other State, complete, now time.Duration) (behind bool) {
@@ -250,6 +257,7 @@
 		entry.Configuration = old.Configuration
 	}
 	l.objects[o.Name] = entry
+	l.applied = append(l.applied, entry.Object)
 	if !o.Deleted {
 		l.sum ^= objectSum(&entry.Object)
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -240,6 +240,19 @@
 	require.Equal(t, valid, other.Configuration())
 }
 
+// Guards against changes that the log does not show: removals that a list implies,
+// and lines for changes that were known before.
+func TestAppliedChanges(t *testing.T) {
+	c := catalog.New()
+	list := catalog.Batch{Whole: true, Revision: 3, Objects: []catalog.Object{target("a", 1, 2), target("b", 2, 3)}}
+	c.Merge(catalog.Targets, list, 1, 1)
+	require.Equal(t, list.Objects, c.Applied(catalog.Targets))
+	c.Merge(catalog.Targets, catalog.Batch{Whole: true, Revision: 5, Objects: []catalog.Object{target("b", 2, 3)}}, 2, 2)
+	require.Equal(t, []catalog.Object{{Name: "a", Revision: 2, Deleted: true}}, c.Applied(catalog.Targets))
+	c.Merge(catalog.Targets, catalog.Batch{Since: 3, Revision: 5, Objects: []catalog.Object{{Name: "a", Revision: 4, Deleted: true}}}, 3, 3)
+	require.Empty(t, c.Applied(catalog.Targets))
+}
+
 // Guards against memory that grows with every target that ever left, and
 // against a host that lags behind what is remembered and misses a deletion.
 func TestDeletionsAreForgotten(t *testing.T) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -229,7 +229,7 @@
 	}
 	if kind == catalog.Targets {
 		c.node.log.Info(logs.TargetsChanged, fields...)
-		c.logTargets(batch)
+		c.logTargets(c.catalog.Applied(kind))
 		return
 	}
 	if configuration != nil {
@@ -237,12 +237,12 @@
 	}
 }
 
-// namedTargets is the number of targets of one answer that get a line each.
+// namedTargets is the number of targets of one change that get a line each.
 const namedTargets = 50
 
-func (c *control) logTargets(batch catalog.Batch) {
-	for i := range min(len(batch.Objects), namedTargets) {
-		o := &batch.Objects[i]
+func (c *control) logTargets(changes []catalog.Object) {
+	for i := range min(len(changes), namedTargets) {
+		o := &changes[i]
 		switch {
 		case o.Deleted:
 			c.node.log.Info(logs.TargetRemoved, zap.String("target", o.Name), zap.Uint64("revision", o.Revision))
