Let packets wait for the first view of a starting host

Cause: a host that had just started dropped what arrived in the 30 to 40 ms until it knew its targets (96 packets in the incident inc-e71c); each cost its sender a repeat after 200 ms. Change: the packets wait in the socket's buffer, for a second at most.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -272,8 +272,11 @@
 		return
 	}
 	c.shown = basis
-	c.node.view.Store(packet.NewView(c.node.settings.DataCentre, basis.hosts,
-		routes(configuration), targets(c.catalog.Members(now), now), basis.departures.Complete))
+	first := c.node.view.Swap(packet.NewView(c.node.settings.DataCentre, basis.hosts,
+		routes(configuration), targets(c.catalog.Members(now), now), basis.departures.Complete)) == nil
+	if first {
+		close(c.node.prepared)
+	}
 }
 
 // noteReady asks the fabric for packets, or to send them to other hosts while
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,8 @@
 	metrics  *metrics
 	view     atomic.Pointer[packet.View]
 	ready    atomic.Bool
+	// prepared is closed once the first view is published.
+	prepared chan struct{}
 	// stopWait is the setting in force, in nanoseconds.
 	stopWait  atomic.Int64
 	reload    <-chan struct{}
@@ -92,7 +94,7 @@
 	newStore func(malformed func(kind catalog.Kind, name string, revision uint64, reason error)) Store, options ...Option,
 ) *Node {
 	n := &Node{
-		settings: s, codec: codec, newStore: newStore, clock: clock.System{}, log: zap.NewNop(), metrics: newMetrics(),
+		settings: s, prepared: make(chan struct{}), codec: codec, newStore: newStore, clock: clock.System{}, log: zap.NewNop(), metrics: newMetrics(),
 		random: func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
 	for _, o := range options {
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -20,8 +20,13 @@
 )
 
 // forward decides on the packets of a socket until it is closed. It is the only
-// user of its plane.
+// user of its plane. Packets that arrive before the first view wait in the
+// socket's buffer, which saves their senders a repeat.
 func (n *Node) forward(socket *net.UDPConn) error {
+	select {
+	case <-n.prepared:
+	case <-n.clock.After(packet.PrepareLimit):
+	}
 	plane := packet.NewPlane(n.random())
 	envelope := n.codec.EnvelopeLength()
 	buffer := make([]byte, envelope+datagramLimit)
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// prepareLimit is the time after the start from which a host without a view
+	// PrepareLimit is the time after the start from which a host without a view
 	// refuses new flows. Until then the client's next copy, 200 ms or 400 ms later,
 	// is likely to find it prepared.
-	prepareLimit = time.Second
+	PrepareLimit = time.Second
 	// handshakeLimit is the time after which an opening that was not completed is
 	// forgotten. A client gives up 1.4 s after its first packet.
 	handshakeLimit = 2 * time.Second
@@ -164,7 +164,7 @@
 // the host and does not go back.
 func (p *Plane) Decide(now time.Duration, k *Packet) Decision {
 	switch {
-	case p.view == nil && k.Synchronize && now > prepareLimit:
+	case p.view == nil && k.Synchronize && now > PrepareLimit:
 		return Decision{Action: Refuse, Reason: ReasonNoConfiguration}
 	case p.view == nil:
 		return Decision{Action: Drop, Reason: ReasonNoConfiguration}
