Use targets whose entries lapsed while no other takes new flows

Cause, by reading: entries lapse while the store is away and are back within two seconds of its return; until then every target of a service may be unlisted, and new flows were refused although the targets live. The target's number in front of each packet keeps a reused address safe, and a target counts as gone 2.5 s after its entry went. Scripted test.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -322,8 +322,10 @@
 		switch {
 		case m.Gone:
 			t.State = packet.Gone
-		case m.Departed:
+		case m.Departed && m.Draining:
 			t.State = packet.Departed
+		case m.Departed:
+			t.State = packet.Lapsed
 		case m.Draining:
 			t.State = packet.Draining
 		}
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -125,7 +125,10 @@
 	Accepting TargetState = iota
 	// Draining targets keep their open flows.
 	Draining
-	// Departed targets are no longer listed but may still run.
+	// Lapsed targets took new flows until their entry went. They take new flows
+	// only while no other target does: entries lapse while the store is away.
+	Lapsed
+	// Departed targets drained before their entry went, but may still run.
 	Departed
 	// Gone targets have ended; their flows can be reset.
 	Gone
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -130,7 +130,7 @@
 		}
 		t.Target, t.listed, t.local = *target, true, target.DataCentre == v.dataCentre
 		p.tags[target.Key.Tag()] = t
-		if t.State != Accepting {
+		if t.State != Accepting && t.State != Lapsed {
 			continue
 		}
 		s := p.services[t.Service]
--- a/internal/packet/script_test.go
+++ b/internal/packet/script_test.go
@@ -69,7 +69,7 @@
 }
 
 var states = map[string]packet.TargetState{
-	"": packet.Accepting, "draining": packet.Draining, "departed": packet.Departed, "gone": packet.Gone,
+	"": packet.Accepting, "draining": packet.Draining, "lapsed": packet.Lapsed, "departed": packet.Departed, "gone": packet.Gone,
 }
 
 var actions = map[packet.Action]string{packet.Drop: "drop", packet.Forward: "forward", packet.Refuse: "refuse"}
--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -32,7 +32,7 @@
 // the host's data centre while its targets have slots to spare: what a partition
 // cuts off is then not in use, and no byte travels without need.
 type service struct {
-	local, remote []*targetRecord
+	local, remote, lapsed []*targetRecord
 	// response is the mean response time of the targets that have one.
 	response time.Duration
 	// use is the mean number of requests in progress at the local targets, by the
@@ -43,16 +43,19 @@
 	hosts int
 }
 
-func (s *service) clear() { s.local, s.remote = s.local[:0], s.remote[:0] }
+func (s *service) clear() { s.local, s.remote, s.lapsed = s.local[:0], s.remote[:0], s.lapsed[:0] }
 
-func (s *service) empty() bool { return len(s.local)+len(s.remote) == 0 }
+func (s *service) empty() bool { return len(s.local)+len(s.remote)+len(s.lapsed) == 0 }
 
 func (s *service) add(t *targetRecord) {
-	if t.local {
+	switch {
+	case t.State == Lapsed:
+		s.lapsed = append(s.lapsed, t)
+	case t.local:
 		s.local = append(s.local, t)
-		return
+	default:
+		s.remote = append(s.remote, t)
 	}
-	s.remote = append(s.remote, t)
 }
 
 // measure renews the mean response time.
@@ -87,6 +90,8 @@
 	s.use += share(now-s.measured, useSpan) * (local.use*float64(s.hosts) - s.use)
 	s.measured = now
 	switch {
+	case local.target == nil && remote.target == nil:
+		return s.least(now, random, s.lapsed, excluded, alsoExcluded).target
 	case local.target == nil:
 		return remote.target
 	case remote.target == nil:
