Tell a reused port from an open flow

Cause, by reading: a host keeps a record of a flow that closed through another host; a later flow of the same addresses, opened elsewhere, would have gone to the old target for as long as the record lived. Change: a packet with another target's tag and a distant sequence number starts a new record. A scripted test failed first.

--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -13,6 +13,9 @@
 	// handshakeLimit is the time after which an opening that was not completed is
 	// forgotten. A client gives up 1.4 s after its first packet.
 	handshakeLimit = 2 * time.Second
+	// sequenceWindow is the distance in bytes of two packets of one flow at most:
+	// four times what a client may have in flight, as for resets.
+	sequenceWindow = 76_800
 	// closedLimit is the time that a closed flow is remembered for late packets.
 	closedLimit = 3 * time.Second
 	// defaultIdle is the idle timeout of a flow whose route has none.
@@ -222,10 +225,13 @@
 // follow decides on a packet of a flow that the client takes for open.
 func (p *Plane) follow(now time.Duration, k *Packet) Decision {
 	f := p.flows[k.Flow]
+	if f != nil && p.reused(f, k) {
+		p.forget(k.Flow, f)
+		f = nil
+	}
 	if f == nil {
 		return p.adopt(now, k)
 	}
-	reason := ReasonOpen
 	if f.state == flowOpening {
 		// The tag of the first acknowledgement names the target that answered.
 		if t := p.tags[k.Tag]; t != nil && t != f.target {
@@ -248,7 +254,15 @@
 	if p.view.routes[k.Flow.Service] == nil {
 		return Decision{Action: Refuse, Reason: ReasonNoRoute}
 	}
-	return forward(f.target, reason)
+	return forward(f.target, ReasonOpen)
+}
+
+// reused reports whether a packet belongs to a later flow of the same addresses,
+// which another host opened. A tag alone does not tell: if two targets answered
+// the opening, the client may return the tag of the other one.
+func (p *Plane) reused(f *flowRecord, k *Packet) bool {
+	distance := int32(k.Sequence - f.next)
+	return k.Tag != 0 && k.Tag != f.target.Key.Tag() && (distance > sequenceWindow || distance < -sequenceWindow)
 }
 
 // adopt decides on a packet of a flow that another host opened.
