--- a/internal/packet/script_test.go
+++ b/internal/packet/script_test.go
@@ -1,6 +1,7 @@
 package packet_test
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"flag"
@@ -8,18 +9,16 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"oriolevalve/internal/golden"
 	"oriolevalve/internal/packet"
 
 	"github.com/stretchr/testify/require"
 )
 
-var update = flag.Bool("update", false, "write the expected output of the scripted tests")
-
 func TestMain(m *testing.M) {
 	// A fixed seed makes every run of the property tests equal.
 	if err := flag.Set("rapid.seed", "1"); err != nil {
@@ -147,25 +146,11 @@
 // Guards the decisions on packets: where a flow opens, what holds it there, and
 // what is refused or dropped.
 func TestScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/scripts/*/input.json")
-	require.NoError(t, err)
-	require.NotEmpty(t, paths)
-	for _, path := range paths {
-		directory := filepath.Dir(path)
-		t.Run(filepath.Base(directory), func(t *testing.T) {
-			data, err := os.ReadFile(path)
-			require.NoError(t, err)
-			var s script
-			decoder := json.NewDecoder(strings.NewReader(string(data)))
-			decoder.DisallowUnknownFields()
-			require.NoError(t, decoder.Decode(&s))
-			expected := filepath.Join(directory, "expected.txt")
-			if *update {
-				require.NoError(t, os.WriteFile(expected, []byte(s.run()), 0o644))
-			}
-			want, err := os.ReadFile(expected)
-			require.NoError(t, err)
-			require.Equal(t, string(want), s.run())
-		})
-	}
+	golden.Run(t, "testdata/scripts/*/input.json", func(t *testing.T, input []byte) string {
+		var s script
+		decoder := json.NewDecoder(bytes.NewReader(input))
+		decoder.DisallowUnknownFields()
+		require.NoError(t, decoder.Decode(&s))
+		return s.run()
+	})
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,11 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 
+	"oriolevalve/internal/golden"
 	"oriolevalve/internal/settings"
 
 	"github.com/stretchr/testify/require"
@@ -19,25 +18,19 @@
 // Guards against a faulty document being accepted, against a report that stops
 // at the first problem, and against a report that quotes a secret.
 func TestParseHostReportsEveryProblem(t *testing.T) {
-	inputs, err := filepath.Glob("testdata/*/input.json")
-	require.NoError(t, err)
-	require.NotEmpty(t, inputs)
-	for _, input := range inputs {
-		directory := filepath.Dir(input)
-		t.Run(filepath.Base(directory), func(t *testing.T) {
-			data, err := os.ReadFile(input)
-			require.NoError(t, err)
-			expected, err := os.ReadFile(filepath.Join(directory, "expected.txt"))
-			require.NoError(t, err)
-			_, err = settings.ParseHost(data, func(string) (string, bool) { return "", false })
-			report := "ok"
-			if err != nil {
-				report = err.Error()
-			}
-			require.Equal(t, strings.TrimSpace(string(expected)), report)
-			require.NotContains(t, report, "hidden-value")
-		})
+	golden.Run(t, "testdata/*/input.json", func(t *testing.T, input []byte) string {
+		_, err := settings.ParseHost(input, func(string) (string, bool) { return "", false })
+		require.NotContains(t, report(err), "hidden-value")
+		return report(err)
+	})
+}
+
+// report returns the problems of a document as its expected output has them.
+func report(err error) string {
+	if err == nil {
+		return "ok\n"
 	}
+	return err.Error() + "\n"
 }
 
 // Guards against example files that drift from the settings' rules or that
@@ -77,22 +70,8 @@
 // Guards against a faulty document of a packet host being accepted, and against
 // a report that stops at the first problem.
 func TestParseNodeReportsEveryProblem(t *testing.T) {
-	inputs, err := filepath.Glob("testdata/node/*/input.json")
-	require.NoError(t, err)
-	require.NotEmpty(t, inputs)
-	for _, input := range inputs {
-		directory := filepath.Dir(input)
-		t.Run(filepath.Base(directory), func(t *testing.T) {
-			data, err := os.ReadFile(input)
-			require.NoError(t, err)
-			expected, err := os.ReadFile(filepath.Join(directory, "expected.txt"))
-			require.NoError(t, err)
-			_, err = settings.ParseNode(data)
-			report := "ok"
-			if err != nil {
-				report = err.Error()
-			}
-			require.Equal(t, strings.TrimSpace(string(expected)), report)
-		})
-	}
+	golden.Run(t, "testdata/node/*/input.json", func(_ *testing.T, input []byte) string {
+		_, err := settings.ParseNode(input)
+		return report(err)
+	})
 }
--- a/pkg/flow/flow_test.go
+++ b/pkg/flow/flow_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -8,20 +9,18 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"oriolevalve/internal/golden"
 	"oriolevalve/pkg/flow"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
-var update = flag.Bool("update", false, "write the expected output of the scripted tests")
-
 func TestMain(m *testing.M) {
 	// A fixed seed makes every run of the property tests equal.
 	_ = flag.Set("rapid.seed", "1")
@@ -115,27 +114,13 @@
 // golden buckets also guard against a change of a hash: hosts of two builds
 // would disagree during a rolling update.
 func TestScripts(t *testing.T) {
-	paths, err := filepath.Glob("testdata/scripts/*/input.json")
-	require.NoError(t, err)
-	require.NotEmpty(t, paths)
-	for _, path := range paths {
-		directory := filepath.Dir(path)
-		t.Run(filepath.Base(directory), func(t *testing.T) {
-			data, err := os.ReadFile(path)
-			require.NoError(t, err)
-			var s script
-			decoder := json.NewDecoder(strings.NewReader(string(data)))
-			decoder.DisallowUnknownFields()
-			require.NoError(t, decoder.Decode(&s))
-			expected := filepath.Join(directory, "expected.txt")
-			if *update {
-				require.NoError(t, os.WriteFile(expected, []byte(s.run()), 0o644))
-			}
-			want, err := os.ReadFile(expected)
-			require.NoError(t, err)
-			require.Equal(t, string(want), s.run())
-		})
-	}
+	golden.Run(t, "testdata/scripts/*/input.json", func(t *testing.T, input []byte) string {
+		var s script
+		decoder := json.NewDecoder(bytes.NewReader(input))
+		decoder.DisallowUnknownFields()
+		require.NoError(t, decoder.Decode(&s))
+		return s.run()
+	})
 }
 
 func equalTargets(count int, firstID flow.TargetID) []flow.TableTarget {
