Use one runner for all scripts with expected files, one check for metrics pages

Change: internal/golden serves all of them. Assertions, patterns and expected files are unchanged; a row taken out of METRICS-node.md still fails the test.

--- a/internal/configuration/script_test.go
+++ b/internal/configuration/script_test.go
@@ -4,10 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
@@ -15,12 +12,11 @@
 	"time"
 
 	"oriolevalve/internal/configuration"
+	"oriolevalve/internal/golden"
 
 	"github.com/stretchr/testify/require"
 )
 
-var update = flag.Bool("update", false, "write the expected output of the scripts")
-
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // modelStore is the object API as a map.
@@ -406,29 +402,16 @@
 // Runs every script in testdata and compares its output. Each script's first
 // line says which failure it guards against.
 func TestScripts(t *testing.T) {
-	inputs, err := filepath.Glob("testdata/*/*/input")
-	require.NoError(t, err)
-	require.NotEmpty(t, inputs)
-	for _, path := range inputs {
-		t.Run(filepath.Base(filepath.Dir(path)), func(t *testing.T) {
-			input, err := os.ReadFile(path)
-			require.NoError(t, err)
-			s := &script{
-				t: t, now: epoch, base: &configuration.Configuration{}, store: modelStore{},
-				commits: map[string]*commitRun{}, hosts: map[string]*hostRun{},
-			}
-			for line := range strings.Lines(string(input)) {
-				if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
-					s.line(line)
-				}
-			}
-			expected := filepath.Join(filepath.Dir(path), "expected")
-			if *update {
-				require.NoError(t, os.WriteFile(expected, []byte(s.out.String()), 0o644))
+	golden.Run(t, "testdata/*/*/input", func(t *testing.T, input []byte) string {
+		s := &script{
+			t: t, now: epoch, base: &configuration.Configuration{}, store: modelStore{},
+			commits: map[string]*commitRun{}, hosts: map[string]*hostRun{},
+		}
+		for line := range strings.Lines(string(input)) {
+			if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
+				s.line(line)
 			}
-			want, err := os.ReadFile(expected)
-			require.NoError(t, err)
-			require.Equal(t, string(want), s.out.String())
-		})
-	}
+		}
+		return s.out.String()
+	})
 }
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -13,8 +13,9 @@
 
 var update = flag.Bool("update", false, "write the expected output of the scripted tests")
 
-// Run passes each input.json that the pattern finds to a function and compares
-// its result with expected.txt beside it.
+// Run passes each input that the pattern finds to a function and compares its
+// result with the file beside it: expected, or expected.txt for an input with an
+// extension.
 func Run(t *testing.T, pattern string, run func(t *testing.T, input []byte) string) {
 	t.Helper()
 	paths, err := filepath.Glob(pattern)
@@ -26,7 +27,10 @@
 			input, err := os.ReadFile(path)
 			require.NoError(t, err)
 			result := run(t, input)
-			expected := filepath.Join(directory, "expected.txt")
+			expected := filepath.Join(directory, "expected")
+			if filepath.Ext(path) != "" {
+				expected += ".txt"
+			}
 			if *update {
 				require.NoError(t, os.WriteFile(expected, []byte(result), 0o644))
 			}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oriolevalve/internal/clock"
+	"oriolevalve/internal/golden"
 	"oriolevalve/internal/metrics"
 	"oriolevalve/internal/platform"
 	"oriolevalve/internal/target"
@@ -24,23 +25,7 @@
 	registry := prometheus.NewRegistry()
 	_, err := metrics.New(registry, clock.System{}, &platform.Calls{})
 	require.NoError(t, err)
-	descriptions := make(chan *prometheus.Desc, 1000)
-	registry.Describe(descriptions)
-	close(descriptions)
-	pattern := regexp.MustCompile(`fqName: "([a-z_]+)".*variableLabels: \{([a-z_,]*)\}`)
-	registered := map[string]string{}
-	for d := range descriptions {
-		match := pattern.FindStringSubmatch(d.String())
-		require.NotNil(t, match, d.String())
-		registered[match[1]] = match[2]
-	}
-	page, err := os.ReadFile("../../docs/METRICS.md")
-	require.NoError(t, err)
-	documented := map[string]string{}
-	for _, row := range regexp.MustCompile("(?m)^\\| `(oriolevalve_[a-z_]+)` \\| [a-z]+ \\| ([a-z_,]*) ?\\| .+ \\| .+ \\| .+ \\|$").FindAllSubmatch(page, -1) {
-		documented[string(row[1])] = string(row[2])
-	}
-	require.Equal(t, registered, documented)
+	golden.RequireMetricsPage(t, registry, "../../docs/METRICS.md", 3)
 }
 
 // Guards against label values from outside that make a label grow, and against
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -1,15 +1,13 @@
 package node
 
 import (
-	"os"
-	"regexp"
 	"slices"
 	"testing"
 
+	"oriolevalve/internal/golden"
 	"oriolevalve/internal/logs"
 	"oriolevalve/internal/packet"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 )
 
@@ -18,23 +16,7 @@
 func TestPageListsEveryMetric(t *testing.T) {
 	m := newMetrics()
 	m.countUnwritten(func() uint64 { return 0 })
-	descriptions := make(chan *prometheus.Desc, 1000)
-	m.registry.Describe(descriptions)
-	close(descriptions)
-	pattern := regexp.MustCompile(`fqName: "([a-z_]+)".*variableLabels: \{([a-z_,]*)\}`)
-	registered := map[string]string{}
-	for d := range descriptions {
-		match := pattern.FindStringSubmatch(d.String())
-		require.NotNil(t, match, d.String())
-		registered[match[1]] = match[2]
-	}
-	page, err := os.ReadFile("../../docs/METRICS-node.md")
-	require.NoError(t, err)
-	documented := map[string]string{}
-	for _, row := range regexp.MustCompile("(?m)^\\| `(oriolevalve_[a-z_]+)` \\| [a-z]+ \\| ([a-z_,]*) ?\\| .+ \\| .+ \\|$").FindAllSubmatch(page, -1) {
-		documented[string(row[1])] = string(row[2])
-	}
-	require.Equal(t, registered, documented)
+	golden.RequireMetricsPage(t, m.registry, "../../docs/METRICS-node.md", 2)
 }
 
 // Guards against a reason without a log line, which an engineer would miss. An
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -4,11 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"regexp"
 	"runtime"
 	"strings"
@@ -18,6 +15,7 @@
 
 	"oriolevalve/internal/clock"
 	"oriolevalve/internal/configuration"
+	"oriolevalve/internal/golden"
 	"oriolevalve/internal/logs"
 	"oriolevalve/internal/operator"
 	standin "oriolevalve/internal/standin/platform"
@@ -36,8 +34,6 @@
 	"google.golang.org/protobuf/types/dynamicpb"
 )
 
-var update = flag.Bool("update", false, "write the expected output of the scripts")
-
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // host is the part of a host that the server needs.
@@ -194,33 +190,20 @@
 // Runs every script in testdata and compares its output. Each script's first
 // line says which failure it guards against.
 func TestScripts(t *testing.T) {
-	inputs, err := filepath.Glob("testdata/*/input")
-	require.NoError(t, err)
-	require.NotEmpty(t, inputs)
-	for _, path := range inputs {
-		t.Run(filepath.Base(filepath.Dir(path)), func(t *testing.T) {
-			input, err := os.ReadFile(path)
-			require.NoError(t, err)
-			fake := clock.NewFake(epoch)
-			s := &script{
-				t: t, clock: fake, store: standin.New(fake),
-				hosts: map[string]*host{}, connection: map[string]*grpc.ClientConn{},
-			}
-			core, logged := observer.New(zap.InfoLevel)
-			s.log, s.logged = zap.New(core), logged
-			s.addHost("h1")
-			for line := range strings.Lines(string(input)) {
-				if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
-					s.line(line)
-				}
-			}
-			expected := filepath.Join(filepath.Dir(path), "expected")
-			if *update {
-				require.NoError(t, os.WriteFile(expected, []byte(s.out.String()), 0o644))
+	golden.Run(t, "testdata/*/input", func(t *testing.T, input []byte) string {
+		fake := clock.NewFake(epoch)
+		s := &script{
+			t: t, clock: fake, store: standin.New(fake),
+			hosts: map[string]*host{}, connection: map[string]*grpc.ClientConn{},
+		}
+		core, logged := observer.New(zap.InfoLevel)
+		s.log, s.logged = zap.New(core), logged
+		s.addHost("h1")
+		for line := range strings.Lines(string(input)) {
+			if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
+				s.line(line)
 			}
-			want, err := os.ReadFile(expected)
-			require.NoError(t, err)
-			require.Equal(t, string(want), s.out.String())
-		})
-	}
+		}
+		return s.out.String()
+	})
 }
--- a/internal/target/scenario_test.go
+++ b/internal/target/scenario_test.go
@@ -1,15 +1,14 @@
 package target_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"oriolevalve/internal/golden"
+
 	"oriolevalve/internal/configuration"
 	"oriolevalve/internal/duration"
 	"oriolevalve/internal/target"
@@ -19,8 +18,6 @@
 	"github.com/zeebo/xxh3"
 )
 
-var update = flag.Bool("update", false, "write the expected actions of the scenarios")
-
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func key(session string) flow.Key { return flow.Key(xxh3.HashString128(session).Bytes()) }
@@ -264,28 +261,15 @@
 // expected actions. The first line of the events names the failure that the
 // scenario guards against.
 func TestScenarios(t *testing.T) {
-	directories, err := filepath.Glob("testdata/scenarios/*")
-	require.NoError(t, err)
-	require.NotEmpty(t, directories)
-	for _, directory := range directories {
-		t.Run(filepath.Base(directory), func(t *testing.T) {
-			s := &scenario{t: t}
-			s.target, s.policy = declaration()
-			input, err := os.ReadFile(filepath.Join(directory, "events.txt"))
-			require.NoError(t, err)
-			require.True(t, strings.HasPrefix(string(input), "# Guards against "), "the first line names the failure")
-			for text := range strings.Lines(string(input)) {
-				s.step(strings.TrimSpace(text))
-			}
-			file := filepath.Join(directory, "expected.txt")
-			if *update {
-				require.NoError(t, os.WriteFile(file, []byte(s.output.String()), 0o644))
-			}
-			expected, err := os.ReadFile(file)
-			require.NoError(t, err)
-			require.Equal(t, string(expected), s.output.String())
-		})
-	}
+	golden.Run(t, "testdata/scenarios/*/events.txt", func(t *testing.T, input []byte) string {
+		s := &scenario{t: t}
+		s.target, s.policy = declaration()
+		require.True(t, strings.HasPrefix(string(input), "# Guards against "), "the first line names the failure")
+		for text := range strings.Lines(string(input)) {
+			s.step(strings.TrimSpace(text))
+		}
+		return s.output.String()
+	})
 }
 
 func (s *scenario) step(text string) {
