--- a/internal/catalog/asking.go
+++ b/internal/catalog/asking.go
@@ -137,5 +137,8 @@
 	}
 }
 
+// MalformedFunc is told of each object whose content can't be used.
+type MalformedFunc func(kind Kind, name string, revision uint64, reason error)
+
 // ErrHistoryGone means that the store no longer has the changes asked for.
 var ErrHistoryGone = errors.New("the store no longer has these changes")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,7 @@
 	clock    clock.Clock
 	started  time.Time
 	log      *zap.Logger
-	newStore func(malformed func(kind catalog.Kind, name string, revision uint64, reason error)) Store
+	newStore func(catalog.MalformedFunc) Store
 	codec    Codec
 	random   func() *rand.Rand
 	metrics  *metrics
@@ -91,7 +91,7 @@
 // New returns a node that is not running.
 func New(
 	s settings.Node, codec Codec,
-	newStore func(malformed func(kind catalog.Kind, name string, revision uint64, reason error)) Store, options ...Option,
+	newStore func(catalog.MalformedFunc) Store, options ...Option,
 ) *Node {
 	n := &Node{
 		settings: s, prepared: make(chan struct{}), codec: codec, newStore: newStore, clock: clock.System{}, log: zap.NewNop(), metrics: newMetrics(),
