--- a/internal/packet/load_test.go
+++ b/internal/packet/load_test.go
@@ -80,7 +80,7 @@
 	}
 	r.target, r.tag = d.Target, d.Tag
 	s.at(2*time.Millisecond, func() {
-		plane.Decide(s.now, &packet.Packet{Flow: r.flow, Acknowledge: true, Tag: r.tag, Sequence: 2, Acknowledgement: 1, Length: 100})
+		plane.Decide(s.now, &packet.Packet{Flow: r.flow, Tag: r.tag, Sequence: 2, Acknowledgement: 1, Length: 100})
 		s.serve(r)
 	})
 }
@@ -117,7 +117,7 @@
 func (s *site) answer(r *request) {
 	r.ended = s.now
 	s.done = append(s.done, r)
-	r.plane.Decide(s.now, &packet.Packet{Flow: r.flow, Acknowledge: true, End: true, Tag: r.tag, Sequence: 102, Acknowledgement: 600})
+	r.plane.Decide(s.now, &packet.Packet{Flow: r.flow, End: true, Tag: r.tag, Sequence: 102, Acknowledgement: 600})
 }
 
 // run plays a time with so many arrivals a second, spread over the hosts.
@@ -203,7 +203,7 @@
 		flow := packet.Flow{Client: clientAddress(100_000 + i), Service: serviceAddress(0)}
 		d := plane.Decide(s.now, &packet.Packet{Flow: flow, Synchronize: true, Sequence: 1})
 		if !s.cut(d.Target) {
-			plane.Decide(s.now, &packet.Packet{Flow: flow, Acknowledge: true, Tag: d.Tag, Sequence: 2, Acknowledgement: 9})
+			plane.Decide(s.now, &packet.Packet{Flow: flow, Tag: d.Tag, Sequence: 2, Acknowledgement: 9})
 			continue
 		}
 		lost++
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -22,8 +22,8 @@
 	Sequence        uint32
 	Acknowledgement uint32
 	// Length is the number of data bytes.
-	Length                               int
-	Synchronize, Acknowledge, End, Reset bool
+	Length                  int
+	Synchronize, End, Reset bool
 }
 
 // TargetKey identifies an incarnation of a target on the wire.
--- a/internal/packet/plane_test.go
+++ b/internal/packet/plane_test.go
@@ -109,7 +109,7 @@
 				if !found {
 					continue
 				}
-				k.Acknowledge, k.Sequence, k.Tag = true, 8, target.Tag()
+				k.Sequence, k.Tag = 8, target.Tag()
 				k.Length = rapid.IntRange(0, 100).Draw(t, "length")
 				k.Acknowledgement = uint32(rapid.IntRange(1, 100).Draw(t, "ack"))
 				d := host.Decide(now, &k)
@@ -126,7 +126,7 @@
 	plane.SetView(fleet(2, 18))
 	k := packet.Packet{Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(1)}, Synchronize: true, Sequence: 1}
 	d := plane.Decide(0, &k)
-	k = packet.Packet{Flow: k.Flow, Acknowledge: true, Sequence: 2, Acknowledgement: 9, Tag: d.Tag, Length: 100}
+	k = packet.Packet{Flow: k.Flow, Sequence: 2, Acknowledgement: 9, Tag: d.Tag, Length: 100}
 	require.Zero(t, testing.AllocsPerRun(1000, func() {
 		k.Sequence += 100
 		k.Acknowledgement++
@@ -145,7 +145,7 @@
 		if i%3 == 0 {
 			continue
 		}
-		k = packet.Packet{Flow: k.Flow, Acknowledge: true, Sequence: 2, Acknowledgement: 9, Tag: d.Tag, Length: 10, End: i%3 == 1}
+		k = packet.Packet{Flow: k.Flow, Sequence: 2, Acknowledgement: 9, Tag: d.Tag, Length: 10, End: i%3 == 1}
 		plane.Decide(time.Millisecond, &k)
 	}
 	require.Equal(t, 600, plane.Flows())
@@ -175,7 +175,7 @@
 		k := packet.Packet{
 			Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(int(service))},
 			Tag:  tag, Sequence: sequence, Acknowledgement: acknowledgement, Length: int(length),
-			Synchronize: flags&1 != 0, Acknowledge: flags&2 != 0, End: flags&4 != 0, Reset: flags&8 != 0,
+			Synchronize: flags&1 != 0, End: flags&4 != 0, Reset: flags&8 != 0,
 		}
 		require.Equal(t, packet.Drop, plane.Decide(0, &k).Action)
 		plane.SetView(fleet(2, 18))
@@ -199,7 +199,7 @@
 			for i := range packets {
 				k := packet.Packet{Flow: packet.Flow{Client: clientAddress(i), Service: serviceAddress(i % 2)}, Synchronize: true}
 				d := plane.Decide(0, &k)
-				packets[i] = packet.Packet{Flow: k.Flow, Acknowledge: true, Tag: d.Tag, Length: 100}
+				packets[i] = packet.Packet{Flow: k.Flow, Tag: d.Tag, Length: 100}
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
@@ -256,7 +256,7 @@
 	}
 	acknowledge := func(client int, at time.Duration, tag uint32) {
 		plane.Decide(at, &packet.Packet{
-			Flow: packet.Flow{Client: clientAddress(client), Service: serviceAddress(0)}, Acknowledge: true, Tag: tag, Sequence: 2, Acknowledgement: 9,
+			Flow: packet.Flow{Client: clientAddress(client), Service: serviceAddress(0)}, Tag: tag, Sequence: 2, Acknowledgement: 9,
 		})
 	}
 	open(1, 0, 0)
@@ -271,7 +271,7 @@
 	// After the retry the client's packet shows nothing of the target.
 	open(3, 9*time.Second, 0)
 	plane.Decide(9050*time.Millisecond, &packet.Packet{
-		Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(0)}, Acknowledge: true, Tag: tag, Sequence: 2, Acknowledgement: 9,
+		Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(0)}, Tag: tag, Sequence: 2, Acknowledgement: 9,
 	})
 	require.Equal(t, []packet.Belief{{Target: "one", Retried: true}}, plane.Beliefs())
 	open(3, 9200*time.Millisecond, 1)
--- a/internal/packet/script_test.go
+++ b/internal/packet/script_test.go
@@ -123,8 +123,8 @@
 					Service: netip.MustParseAddrPort(p.Service),
 				},
 				Sequence: p.Seq, Acknowledgement: p.Ack, Length: p.Length,
-				Synchronize: strings.Contains(p.Flags, "S"), Acknowledge: strings.Contains(p.Flags, "A"),
-				End: strings.Contains(p.Flags, "F"), Reset: strings.Contains(p.Flags, "R"),
+				Synchronize: strings.Contains(p.Flags, "S"),
+				End:         strings.Contains(p.Flags, "F"), Reset: strings.Contains(p.Flags, "R"),
 			}
 			if p.Tag != "" {
 				k.Tag = key(p.Tag).Tag()
