Start many hosts at once: read the store page by page, fetch from each other like a tree

Logs of that start: 789 lists of targets ran into the 1.2 s that all pages of a list had together (3,000 targets are 0.75 MB, 0.6 s of a link of 10 Mbit/s), each starting anew; 1,677 fetches from three seeds ran into their 1 s, because the seeds sent 600 KB of JSON to all who asked at once.

Ruled out: refusals of the store (none had status 429); the restart itself (all processes ran 0.2 s after they were killed).

Change: each page is a call of its own, and a list goes on with the page that failed. A host sends whole collections to two others at a time; the others wait in a queue, of which each host that was served takes over half. Collections are compressed (under 40 bytes a target instead of 200) and encoded once. Hosts say that they read from the store, and the others leave it alone meanwhile.

Failed on the way: hosts that passed on their own progress to each other all waited and none read (0.8 s lost); seeds now read whatever the others do.

--- a/internal/catalog/asking.go
+++ b/internal/catalog/asking.go
@@ -31,19 +31,30 @@
 	retryLimit = 800 * time.Millisecond
 	retryStep  = 100 * time.Millisecond
 	retryRanks = 30
+	// listingLimit is the age at which pages of a list are dropped. The changes
+	// since its first page must still be in the store's history of 20 s.
+	listingLimit = 10 * time.Second
+	// pageObjects is the usual number of objects of a page.
+	pageObjects = 500
 )
 
+// watchAnswerAge is the age given to an answer with changes: the store sends it as
+// soon as there is one, and a slow store takes this long.
+const watchAnswerAge = 300 * time.Millisecond
+
 // Call is a question to the store.
 type Call struct {
 	Kind Kind
-	// List asks for all objects; otherwise the call asks for the changes after
-	// Since and waits for one.
+	// List asks for a page of all objects, which starts after the object named
+	// After; otherwise the call asks for the changes after Since and waits for one.
 	List  bool
+	After string
 	Since uint64
 	Wait  time.Duration
 }
 
-// Timeout returns the time after which the call counts as lost.
+// Timeout returns the time after which the call counts as lost. A page of a list
+// has more bytes than other answers.
 func (c Call) Timeout() time.Duration {
 	if c.List {
 		return 2 * AnswerLimit
@@ -64,30 +75,65 @@
 	lost, empty, listing bool
 	// losses counts the lost histories since the last answer to a watch.
 	losses int
+	// pages is what the current list has so far, since the time listed; listed is
+	// negative between two lists.
+	pages  Batch
+	listed time.Duration
 }
 
 // NewAsker returns the asker of a collection whose age must stay under a bound.
 // It makes no call before the given time: the host first asks other hosts.
 func NewAsker(kind Kind, bound, first time.Duration) *Asker {
-	return &Asker{kind: kind, bound: bound, next: first}
+	return &Asker{kind: kind, bound: bound, next: first, listed: noListing}
 }
 
+// noListing marks an asker without pages.
+const noListing = -time.Nanosecond
+
 // SetBound changes the bound on the age.
 func (a *Asker) SetBound(bound time.Duration) { a.bound = bound }
 
+// Reading returns one more than the number of objects that the host has read of a
+// list that it reads from the store, and zero if it reads none or the store fails.
+func (a *Asker) Reading() int {
+	if a.listed == noListing || a.failures > 0 {
+		return 0
+	}
+	return len(a.pages.Objects) + 1
+}
+
+// Yield ends the reading of a list in favor of a host that has read so many objects,
+// unless this one is ahead by more than a page.
+func (a *Asker) Yield(reading int) {
+	if a.listed != noListing && reading > 0 && a.Reading() <= reading+pageObjects {
+		a.pages, a.listed = Batch{}, noListing
+	}
+}
+
 // Next returns the call to make now, if any. The rank is the host's place among
 // the live hosts: the first one watches, the others ask only if what they know
-// has grown old.
-func (a *Asker) Next(c *Catalog, rank int, now time.Duration) (Call, bool) {
+// has grown old. A host that expects its first catalog from another host does not
+// start to read it from the store, and does not go on against a store that fails.
+func (a *Asker) Next(c *Catalog, rank int, expecting bool, now time.Duration) (Call, bool) {
 	if a.running || now < a.next {
 		return Call{}, false
 	}
 	age, valid := c.Age(a.kind, now)
 	call := Call{Kind: a.kind, Since: c.collections[a.kind].revision}
 	a.empty = !valid
+	if valid && !a.lost {
+		// Another host was faster than the list.
+		a.pages, a.listed = Batch{}, noListing
+	}
 	switch {
+	case !valid && expecting && (a.listed == noListing || a.failures > 0):
+		return Call{}, false
 	case !valid || a.lost:
 		call.List = true
+		if a.listed == noListing || now-a.listed > listingLimit {
+			a.pages, a.listed = Batch{Whole: true}, now
+		}
+		call.After = a.pages.Next
 	case rank == 0:
 		call.Wait = time.Duration(watchShare * float64(a.bound))
 	case age < max(a.bound-askReserve, a.bound/leastAskPart)+askStep*time.Duration(min(rank, askRanks)):
@@ -97,6 +143,33 @@
 	return call, true
 }
 
+// Take returns the batch that an answer completes, with the time from which it
+// holds: the whole list after its last page. A list that fails on a page goes on
+// with that page, so that a slow host or store makes progress.
+func (a *Asker) Take(call Call, b Batch, started, now time.Duration) (batch Batch, complete time.Duration, done bool) {
+	switch {
+	case !call.List && len(b.Objects) == 0:
+		return b, min(now, started+call.Wait), true
+	case !call.List:
+		return b, max(started, now-watchAnswerAge), true
+	}
+	if a.listed == noListing || started < a.listed {
+		return Batch{}, 0, false
+	}
+	if call.After == "" {
+		// Later pages may hold newer objects, whose changes a watch repeats.
+		a.pages.Revision = b.Revision
+	}
+	a.pages.Objects = append(a.pages.Objects, b.Objects...)
+	a.pages.Next = b.Next
+	if b.Next != "" {
+		return Batch{}, 0, false
+	}
+	batch, complete = a.pages, a.listed
+	a.pages, a.listed = Batch{}, noListing
+	return batch, complete, true
+}
+
 // Outcome is the result of a call.
 type Outcome uint8
 
@@ -113,9 +186,12 @@
 	a.running = false
 	switch outcome {
 	case Answered:
-		a.failures, a.lost, a.next = 0, false, now
-		if !a.listing {
-			a.losses = 0
+		a.failures, a.next = 0, now
+		if a.listing {
+			// Pages that are left keep the host at its list.
+			a.lost = a.lost && a.listed != noListing
+		} else {
+			a.lost, a.losses = false, 0
 		}
 	case HistoryGone:
 		// A store that keeps no history would be asked without a pause.
--- a/internal/catalog/asking_test.go
+++ b/internal/catalog/asking_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,16 +13,23 @@
 // bound is the least bound on the age in the deployments of today.
 const bound = 3 * time.Second
 
+// take merges an answer that came at once.
+func take(t *testing.T, c *catalog.Catalog, a *catalog.Asker, call catalog.Call, answer catalog.Batch, now time.Duration) {
+	b, complete, done := a.Take(call, answer, now, now)
+	require.True(t, done)
+	c.Merge(call.Kind, b, complete, now)
+}
+
 // Guards against knowledge older than its bound while the store answers some
 // call: a host whose watch falls silent, whose next call is lost too, and that
 // hears nothing of others, must have an answer before the bound.
 func TestLostCallsStayWithinTheBound(t *testing.T) {
 	for _, rank := range []int{0, 1, 5, 90} {
 		c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
-		call, due := a.Next(c, rank, 0)
+		call, due := a.Next(c, rank, false, 0)
 		require.True(t, due)
 		require.True(t, call.List)
-		c.Merge(catalog.Targets, catalog.Batch{Whole: true, Revision: 5}, 0, 0)
+		take(t, c, a, call, catalog.Batch{Whole: true, Revision: 5}, 0)
 		a.Done(catalog.Answered, rank, 0)
 		lost, oldest := 0, time.Duration(0)
 		var ends time.Duration
@@ -29,7 +37,7 @@
 			age, _ := c.Age(catalog.Targets, now)
 			oldest = max(oldest, age)
 			if ends == 0 {
-				if call, due = a.Next(c, rank, now); due {
+				if call, due = a.Next(c, rank, false, now); due {
 					require.Equal(t, uint64(5), call.Since)
 					ends = now + call.Timeout()
 					if lost++; lost > 1 {
@@ -61,14 +69,14 @@
 		if now%(500*time.Millisecond) == 0 {
 			c.Confirm(catalog.Configurations, c.State(catalog.Configurations, now), now-900*time.Millisecond, now)
 		}
-		_, due := a.Next(c, 1, now)
+		_, due := a.Next(c, 1, false, now)
 		require.False(t, due, "at %s", now)
 	}
 	calls := map[int]int{}
 	for _, rank := range []int{0, 40} {
 		a := catalog.NewAsker(catalog.Configurations, bound, 0)
 		for now := time.Minute + 2*bound; now < 2*time.Minute+2*bound; now += 10 * time.Millisecond {
-			if _, due := a.Next(c, rank, now); due {
+			if _, due := a.Next(c, rank, false, now); due {
 				calls[rank]++
 				a.Done(catalog.Failed, rank, now)
 			}
@@ -82,16 +90,17 @@
 func TestLostHistoryIsListed(t *testing.T) {
 	c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
 	c.Merge(catalog.Targets, catalog.Batch{Whole: true, Revision: 5}, 0, 0)
-	call, due := a.Next(c, 0, 1)
+	call, due := a.Next(c, 0, false, 1)
 	require.True(t, due)
 	require.False(t, call.List)
-	_, due = a.Next(c, 0, 1)
+	_, due = a.Next(c, 0, false, 1)
 	require.False(t, due, "two calls at once")
 	a.Done(catalog.HistoryGone, 0, 2)
-	call, due = a.Next(c, 0, 2)
+	call, due = a.Next(c, 0, false, 2)
 	require.True(t, due && call.List)
+	take(t, c, a, call, catalog.Batch{Whole: true, Revision: 6}, 3)
 	a.Done(catalog.Answered, 0, 3)
-	call, due = a.Next(c, 0, 3)
+	call, due = a.Next(c, 0, false, 3)
 	require.True(t, due && !call.List)
 }
 
@@ -101,7 +110,7 @@
 	c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
 	last := time.Duration(0)
 	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
-		if _, due := a.Next(c, 0, now); due {
+		if _, due := a.Next(c, 0, false, now); due {
 			require.LessOrEqual(t, now-last, 250*time.Millisecond)
 			last = now
 			a.Done(catalog.Failed, 0, now)
@@ -116,7 +125,7 @@
 	c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
 	calls, oldest := 0, time.Duration(0)
 	for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
-		call, due := a.Next(c, 0, now)
+		call, due := a.Next(c, 0, false, now)
 		if age, valid := c.Age(catalog.Targets, now); valid {
 			oldest = max(oldest, age)
 		}
@@ -128,10 +137,66 @@
 			a.Done(catalog.HistoryGone, 0, now)
 			continue
 		}
-		c.Merge(catalog.Targets, catalog.Batch{Whole: true, Revision: uint64(calls)}, now, now)
+		take(t, c, a, call, catalog.Batch{Whole: true, Revision: uint64(calls)}, now)
 		a.Done(catalog.Answered, 0, now)
 	}
 	// A list and a watch for each pause of at most 0.8 s, and some shorter ones.
 	require.Less(t, calls, 2*30)
 	require.Less(t, oldest, bound)
 }
+
+// Guards against a long list that starts anew with each lost page: of 301 hosts
+// that started at once, 245 could not read 60 pages within one call's time. The
+// pages together must be as old as the first one, and a list that takes longer
+// than the store's history is worthless.
+func TestListGoesOnWithTheLostPage(t *testing.T) {
+	c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
+	const pages, first, slow = 60, 30 * time.Millisecond, 100 * time.Millisecond
+	now, calls := first, 0
+	for !c.State(catalog.Targets, now).Valid {
+		require.Less(t, calls, 2*pages)
+		call, due := a.Next(c, 3, false, now)
+		if now += slow / 2; !due {
+			continue
+		}
+		if calls++; calls%5 == 0 {
+			a.Done(catalog.Failed, 3, now)
+			continue
+		}
+		page := 0
+		if call.After != "" {
+			_, err := fmt.Sscanf(call.After, "t%02d", &page)
+			require.NoError(t, err)
+		}
+		answer := catalog.Batch{Whole: true, Revision: uint64(100 + page), Objects: []catalog.Object{
+			{Name: fmt.Sprintf("t%02d", page+1), Revision: 1, Target: &catalog.Target{Key: 1}},
+		}}
+		if page+1 < pages {
+			answer.Next = fmt.Sprintf("t%02d", page+1)
+		}
+		b, complete, done := a.Take(call, answer, now, now)
+		if a.Done(catalog.Answered, 3, now); !done {
+			continue
+		}
+		require.Greater(t, complete, now-10*time.Second, "older than the store's history allows")
+		require.Equal(t, uint64(100), b.Revision, "a watch from here repeats what later pages missed")
+		c.Merge(catalog.Targets, b, complete, now)
+	}
+	require.Len(t, c.Changes(catalog.Targets, 0).Objects, pages)
+}
+
+// Guards against a list that mixes pages from before and after a gap longer than
+// the store's history.
+func TestOldPagesAreDropped(t *testing.T) {
+	c, a := catalog.New(), catalog.NewAsker(catalog.Targets, bound, 0)
+	call, due := a.Next(c, 0, false, 1)
+	require.True(t, due && call.After == "")
+	_, _, done := a.Take(call, catalog.Batch{Whole: true, Revision: 9, Next: "t5"}, 1, 1)
+	require.False(t, done)
+	a.Done(catalog.Answered, 0, 1)
+	call, due = a.Next(c, 0, false, time.Second)
+	require.True(t, due && call.After == "t5")
+	a.Done(catalog.Failed, 0, time.Second)
+	call, due = a.Next(c, 0, false, 12*time.Second)
+	require.True(t, due && call.List && call.After == "")
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -47,6 +47,9 @@
 	Since    uint64   `json:"since"`
 	Objects  []Object `json:"objects"`
 	Revision uint64   `json:"revision"`
+	// Next is the name after which the next page starts; empty on the last page
+	// and for all batches that are no pages.
+	Next string `json:"-"`
 }
 
 // tombstoneLimit is the number of deletions that a collection remembers for
--- /dev/null
+++ b/internal/gossip/admission.go
@@ -0,0 +1,124 @@
+package gossip
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// transferSlots is the number of whole collections that a host sends at a
+	// time. Two keep a link of 10 Mbit/s busy while one of the askers is slow.
+	transferSlots = 2
+	// queueLimit is the number of askers that wait for a slot: those of one seed
+	// when 1,100 hosts start at once. Each holds a connection.
+	queueLimit = 400
+	// QueueLimit is the time after which an asker that still waits is sent away:
+	// three pairs of transfers of 11,000 targets over a link of 10 Mbit/s.
+	QueueLimit = 2 * time.Second
+	// servedLimit is the number of served hosts that are remembered.
+	servedLimit = 16
+)
+
+// Verdict says what happens to an asker.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Wait keeps the asker in the queue.
+	Wait Verdict = iota
+	// Send sends it the collection.
+	Send
+	// Redirect sends it to another host, or away if none is known.
+	Redirect
+)
+
+// ticket is an asker that waits for its verdict.
+type ticket struct {
+	address string
+	entered time.Duration
+	// verdict is called once.
+	verdict func(v Verdict, redirect string)
+}
+
+// Admission decides who gets a whole collection from this host, so that a start of
+// many hosts spreads it like a tree: each host that has got it takes over half of
+// those that wait. It has no sockets, reads no clock, and is not safe for
+// concurrent use.
+type Admission struct {
+	// ready is set once the host has the collection. Until then askers wait.
+	ready   bool
+	sending int
+	queue   []*ticket
+	// served are the last hosts that got the collection; some may have been killed.
+	served []string
+	// named counts the hosts that were named to askers.
+	named int
+}
+
+// Ready notes that the host has the collection.
+func (a *Admission) Ready() {
+	a.ready = true
+	a.admit()
+}
+
+// Enter adds an asker. The verdict may be called before Enter returns.
+func (a *Admission) Enter(address string, now time.Duration, verdict func(v Verdict, redirect string)) {
+	a.expire(now)
+	if len(a.queue) == queueLimit {
+		verdict(Redirect, a.other(address))
+		return
+	}
+	a.queue = append(a.queue, &ticket{address: address, entered: now, verdict: verdict})
+	a.admit()
+}
+
+// admit sends the collection to those that wait while a slot is free.
+func (a *Admission) admit() {
+	for a.ready && a.sending < transferSlots && len(a.queue) > 0 {
+		a.sending++
+		a.remove().verdict(Send, "")
+	}
+}
+
+// Leave notes the end of a transfer. An asker that was served can serve others.
+func (a *Admission) Leave(address string, served bool, now time.Duration) {
+	a.sending--
+	a.expire(now)
+	if served {
+		if len(a.served) == servedLimit {
+			a.served = slices.Delete(a.served, 0, 1)
+		}
+		a.served = append(a.served, address)
+		for range (len(a.queue) + 1) / 2 {
+			a.remove().verdict(Redirect, address)
+		}
+	}
+	a.admit()
+}
+
+// Tick sends away those that waited too long.
+func (a *Admission) Tick(now time.Duration) { a.expire(now) }
+
+func (a *Admission) expire(now time.Duration) {
+	for len(a.queue) > 0 && now-a.queue[0].entered >= QueueLimit {
+		t := a.remove()
+		t.verdict(Redirect, a.other(t.address))
+	}
+}
+
+// other returns a host that was served lately, each in its turn.
+func (a *Admission) other(address string) string {
+	for range a.served {
+		a.named++
+		if other := a.served[a.named%len(a.served)]; other != address {
+			return other
+		}
+	}
+	return ""
+}
+
+func (a *Admission) remove() *ticket {
+	t := a.queue[0]
+	a.queue = slices.Delete(a.queue, 0, 1)
+	return t
+}
--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -2,18 +2,30 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/rpc"
+	"sync"
 	"time"
 
 	"oriolevalve/internal/catalog"
+	"oriolevalve/internal/clock"
 
 	"github.com/cockroachdb/errors"
 )
 
-// serviceName is the name of the net/rpc service of a host.
-const serviceName = "Catalog"
+const (
+	// serviceName is the name of the net/rpc service of a host.
+	serviceName = "Catalog"
+	// connectLimit is the time for a connection: several round trips between data
+	// centres on a busy host.
+	connectLimit = 500 * time.Millisecond
+	// silenceLimit is the time without a byte of an answer after which a source
+	// counts as dead. An asker may wait in its queue.
+	silenceLimit = QueueLimit + 500*time.Millisecond
+	// transferLimit bounds a transfer: 11,000 targets, 330 KB, take 0.6 s when two
+	// share a link of 10 Mbit/s.
+	transferLimit = 2 * time.Second
+)
 
 // Question asks for the changes of a collection after a revision.
 type Question struct {
@@ -23,9 +35,12 @@
 
 // Reply is the answer to a Question.
 type Reply struct {
-	// Batch is a catalog.Batch as JSON. Age is the time since its confirmation.
+	// Batch is a compressed catalog.Batch; empty if the host is busy. Age is the
+	// time since its confirmation.
 	Batch []byte
 	Age   time.Duration
+	// Redirect is the address of a host that is less busy, if one is known.
+	Redirect string
 }
 
 // Answerer answers the questions of other hosts. It is called from several
@@ -34,31 +49,39 @@
 	Changes(kind catalog.Kind, since uint64) (batch catalog.Batch, age time.Duration, err error)
 }
 
-// Server is the receiver of the net/rpc service.
-type Server struct{ answerer Answerer }
-
-// Changes answers a question.
-func (s *Server) Changes(q Question, r *Reply) error {
-	if q.Kind >= uint8(catalog.KindCount) {
-		return errors.Newf("unknown collection %d", q.Kind)
-	}
-	batch, age, err := s.answerer.Changes(catalog.Kind(q.Kind), q.Since)
-	if err != nil {
-		return err
+// Server answers the questions of other hosts.
+type Server struct {
+	answerer Answerer
+	clock    clock.Clock
+	started  time.Time
+	mutex    sync.Mutex
+	// admissions decide who gets a whole collection.
+	admissions [catalog.KindCount]Admission
+	// encoded holds the last whole batch of each collection.
+	encoded [catalog.KindCount]struct {
+		revision uint64
+		data     []byte
 	}
-	r.Age = age
-	if r.Batch, err = json.Marshal(batch); err != nil {
-		return errors.Wrap(err, "encoding the changes")
-	}
-	return nil
 }
 
+// NewServer returns a server for an answerer.
+func NewServer(a Answerer, c clock.Clock) *Server {
+	return &Server{answerer: a, clock: c, started: c.Now()}
+}
+
+// Ready notes that the answerer has a collection. Until then those who ask for all
+// of it wait.
+func (s *Server) Ready(kind catalog.Kind) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.admissions[kind].Ready()
+}
+
+// now returns the time since the start of the server.
+func (s *Server) now() time.Duration { return s.clock.Now().Sub(s.started) }
+
 // Serve answers on a listener until it is closed.
-func Serve(l net.Listener, a Answerer) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Server{answerer: a}); err != nil {
-		return errors.Wrap(err, "registering the service")
-	}
+func (s *Server) Serve(l net.Listener) error {
 	for {
 		connection, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -68,44 +91,162 @@
 			return errors.Wrap(err, "accepting a connection")
 		}
 		// A caller that was cut off never ends its connection.
-		if err := connection.SetDeadline(time.Now().Add(2 * FetchLimit)); err != nil {
+		if err := connection.SetDeadline(s.clock.Now().Add(QueueLimit + transferLimit)); err != nil {
 			return errors.CombineErrors(errors.Wrap(err, "setting the deadline"), connection.Close())
 		}
-		go server.ServeConn(connection)
+		host, _, err := net.SplitHostPort(connection.RemoteAddr().String())
+		if err != nil {
+			return errors.CombineErrors(errors.Wrap(err, "address of a caller"), connection.Close())
+		}
+		receiver := &Session{server: s, caller: host}
+		server := rpc.NewServer()
+		if err := server.RegisterName(serviceName, receiver); err != nil {
+			return errors.Wrap(err, "registering the service")
+		}
+		go func() {
+			server.ServeConn(connection)
+			receiver.close()
+		}()
 	}
 }
 
-// FetchLimit is the time for fetching changes from another host. The largest
-// configuration, 360 KB, takes 0.3 s over a link of 10 Mbit/s.
-const FetchLimit = time.Second
+// Session is the receiver of the net/rpc service for one connection, which asks
+// one question.
+type Session struct {
+	server *Server
+	caller string
+	// admitted is the admission of which the session holds a slot.
+	admitted *Admission
+}
 
-// Fetch asks the host at an address for changes. Each call has a connection of
-// its own: changes are rare, and an old connection may have gone silent.
-func Fetch(ctx context.Context, address string, kind catalog.Kind, since uint64) (catalog.Batch, time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, FetchLimit)
-	defer cancel()
-	var dialer net.Dialer
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+// Changes answers a question.
+func (s *Session) Changes(q Question, r *Reply) error {
+	if q.Kind >= uint8(catalog.KindCount) {
+		return errors.Newf("unknown collection %d", q.Kind)
+	}
+	// Changes since a revision are small. A whole collection waits for a slot.
+	if q.Since == 0 {
+		admitted, redirect := s.enter(catalog.Kind(q.Kind))
+		if r.Redirect = redirect; !admitted {
+			return nil
+		}
+	}
+	batch, age, err := s.server.answerer.Changes(catalog.Kind(q.Kind), q.Since)
 	if err != nil {
-		return catalog.Batch{}, 0, errors.Wrap(err, "connecting to a host")
+		return err
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		if err := connection.SetDeadline(deadline); err != nil {
-			return catalog.Batch{}, 0, errors.CombineErrors(errors.Wrap(err, "setting the deadline"), connection.Close())
+	r.Age = age
+	r.Batch, err = s.server.encode(catalog.Kind(q.Kind), batch)
+	return err
+}
+
+// enter waits for the verdict of the admission.
+func (s *Session) enter(kind catalog.Kind) (admitted bool, redirect string) {
+	type outcome struct {
+		verdict  Verdict
+		redirect string
+	}
+	v := s.server
+	admission := &v.admissions[kind]
+	outcomes := make(chan outcome, 1)
+	v.mutex.Lock()
+	admission.Enter(s.caller, v.now(), func(verdict Verdict, redirect string) {
+		if verdict == Send {
+			s.admitted = admission
 		}
+		outcomes <- outcome{verdict, redirect}
+	})
+	v.mutex.Unlock()
+	select {
+	case o := <-outcomes:
+		return o.verdict == Send, o.redirect
+	case <-v.clock.After(QueueLimit):
+		v.mutex.Lock()
+		admission.Tick(v.now())
+		v.mutex.Unlock()
+		o := <-outcomes
+		return o.verdict == Send, o.redirect
 	}
-	client := rpc.NewClient(connection)
+}
+
+func (s *Session) close() {
+	v := s.server
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if s.admitted != nil {
+		s.admitted.Leave(s.caller, true, v.now())
+		s.admitted = nil
+	}
+}
+
+// encode returns the bytes of a batch. Those of a whole collection serve all who
+// ask for it until it changes.
+func (s *Server) encode(kind catalog.Kind, b catalog.Batch) ([]byte, error) {
+	if !b.Whole || b.Since != 0 {
+		return encode(b)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	last := &s.encoded[kind]
+	if last.data != nil && last.revision == b.Revision {
+		return last.data, nil
+	}
+	data, err := encode(b)
+	if err != nil {
+		return nil, err
+	}
+	last.revision, last.data = b.Revision, data
+	return data, nil
+}
+
+// Fetched is what a host answered.
+type Fetched struct {
+	Batch catalog.Batch
+	Age   time.Duration
+	// Size is the number of bytes that the batch took on its way.
+	Size int
+	// Redirect is the address of a less busy host, if one is known.
+	Redirect string
+}
+
+// ErrBusy means that a host sends its collection to others.
+var ErrBusy = errors.New("the host is busy")
+
+// patientConnection renews its deadline with each byte that arrives.
+type patientConnection struct{ net.Conn }
+
+// Read reads within the limit on silence.
+func (c patientConnection) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// Fetch asks the host at an address for changes. Each call has a connection of
+// its own: changes are rare, and an old connection may have gone silent. The
+// error is ErrBusy if the host is busy.
+func Fetch(ctx context.Context, address string, kind catalog.Kind, since uint64) (Fetched, error) {
+	dialer := net.Dialer{Timeout: connectLimit}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return Fetched{}, errors.Wrap(err, "connecting to a host")
+	}
+	client := rpc.NewClient(patientConnection{connection})
 	var reply Reply
 	err = client.Call(serviceName+".Changes", Question{Kind: uint8(kind), Since: since}, &reply)
 	if closing := client.Close(); err == nil && closing != nil && !errors.Is(closing, rpc.ErrShutdown) {
 		err = closing
 	}
 	if err != nil {
-		return catalog.Batch{}, 0, errors.Wrap(err, "fetching changes")
+		return Fetched{}, errors.Wrap(err, "fetching changes")
+	}
+	if len(reply.Batch) == 0 {
+		return Fetched{Redirect: reply.Redirect}, ErrBusy
 	}
-	var batch catalog.Batch
-	if err := json.Unmarshal(reply.Batch, &batch); err != nil {
-		return catalog.Batch{}, 0, errors.Wrap(err, "decoding changes")
+	batch, err := decode(reply.Batch)
+	if err != nil {
+		return Fetched{}, err
 	}
-	return batch, reply.Age, nil
+	return Fetched{Batch: batch, Age: reply.Age, Size: len(reply.Batch)}, nil
 }
--- a/internal/gossip/changes_test.go
+++ b/internal/gossip/changes_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"oriolevalve/internal/catalog"
+	"oriolevalve/internal/clock"
 	"oriolevalve/internal/gossip"
 
 	"github.com/cockroachdb/errors"
@@ -34,22 +38,53 @@
 		{Name: "t2", Revision: 7, Deleted: true},
 		{Name: "main", Revision: 9, Configuration: &catalog.Configuration{Version: 4, Services: []string{"desk"}}},
 	}}}
+	server := gossip.NewServer(a, clock.System{})
 	done := make(chan error, 1)
-	go func() { done <- gossip.Serve(l, a) }()
+	go func() { done <- server.Serve(l) }()
 	address := l.Addr().String()
-	batch, age, err := gossip.Fetch(context.Background(), address, catalog.Targets, 5)
+	fetched, err := gossip.Fetch(context.Background(), address, catalog.Targets, 5)
 	require.NoError(t, err)
-	require.Equal(t, time.Second+time.Duration(catalog.Targets), age)
+	require.Equal(t, time.Second+time.Duration(catalog.Targets), fetched.Age)
 	want := a.batch
 	want.Since = 5
-	require.Equal(t, want, batch)
-	_, _, err = gossip.Fetch(context.Background(), address, catalog.KindCount, 5)
+	require.Equal(t, want, fetched.Batch)
+	_, err = gossip.Fetch(context.Background(), address, catalog.KindCount, 5)
 	require.ErrorContains(t, err, "unknown collection")
 	a.err = errors.New("no catalog yet")
-	_, _, err = gossip.Fetch(context.Background(), address, catalog.Targets, 5)
+	_, err = gossip.Fetch(context.Background(), address, catalog.Targets, 5)
 	require.ErrorContains(t, err, "no catalog yet")
 	require.NoError(t, l.Close())
 	require.NoError(t, <-done)
-	_, _, err = gossip.Fetch(context.Background(), address, catalog.Targets, 5)
+	_, err = gossip.Fetch(context.Background(), address, catalog.Targets, 5)
 	require.ErrorContains(t, err, "connecting")
 }
+
+// Guards against transfers that fill the link of a host: the model of a mass
+// start takes 40 bytes for a target.
+func TestEncodedSize(t *testing.T) {
+	const count = 3000
+	batch := catalog.Batch{Whole: true, Revision: 1 << 40}
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range count {
+		key := random.Uint64N(1 << 40)
+		batch.Objects = append(batch.Objects, catalog.Object{
+			Name: fmt.Sprintf("i-%010x", key), Revision: 1<<39 + uint64(i), Target: &catalog.Target{
+				Key: key, Service: "rounds-desk", DataCentre: []string{"reykjavik-a", "keflavik-c"}[i%2], Slots: 2,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 8687),
+			},
+		})
+	}
+	a := &answers{batch: batch}
+	server := gossip.NewServer(a, clock.System{})
+	server.Ready(catalog.Targets)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l) }()
+	fetched, err := gossip.Fetch(context.Background(), l.Addr().String(), catalog.Targets, 0)
+	require.NoError(t, err)
+	require.Equal(t, batch, fetched.Batch)
+	require.Less(t, fetched.Size, 40*count)
+	require.NoError(t, l.Close())
+	require.NoError(t, <-done)
+}
--- /dev/null
+++ b/internal/gossip/codec.go
@@ -0,0 +1,42 @@
+package gossip
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/gob"
+	"io"
+
+	"oriolevalve/internal/catalog"
+
+	"github.com/cockroachdb/errors"
+)
+
+// decodedLimit bounds the bytes of a decompressed batch: 11,000 targets and 800
+// services take 2 MB.
+const decodedLimit = 32 << 20
+
+// encode compresses a batch. Names of services and data centres repeat, so a
+// target takes a quarter of its size as JSON.
+func encode(b catalog.Batch) ([]byte, error) {
+	var buffer bytes.Buffer
+	w, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "preparing to compress changes")
+	}
+	if err := gob.NewEncoder(w).Encode(b); err != nil {
+		return nil, errors.Wrap(err, "encoding changes")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compressing changes")
+	}
+	return buffer.Bytes(), nil
+}
+
+func decode(data []byte) (catalog.Batch, error) {
+	var b catalog.Batch
+	r := flate.NewReader(bytes.NewReader(data))
+	if err := gob.NewDecoder(io.LimitReader(r, decodedLimit)).Decode(&b); err != nil {
+		return catalog.Batch{}, errors.Wrap(err, "decoding changes")
+	}
+	return b, nil
+}
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -46,11 +46,15 @@
 
 // NeedsAnswer reports whether a message calls for an answer with the state of a
 // collection: the sender knows less, or its knowledge is older by more than an
-// interval. Answers spread news in half the rounds.
-func NeedsAnswer(m *Message, own, other catalog.State) bool {
-	if m.Answer || !own.Valid {
+// interval. Answers spread news in half the rounds. A host without the collection
+// answers if it is about to have it.
+func NeedsAnswer(m *Message, own, other catalog.State, promised bool) bool {
+	if m.Answer {
 		return false
 	}
+	if !own.Valid {
+		return promised && !other.Valid
+	}
 	return !other.Valid || own.Revision > other.Revision && own.Sum != other.Sum ||
 		other.Age-own.Age > Interval.Milliseconds()
 }
@@ -64,6 +68,11 @@
 	Contacts []Contact                        `json:"contacts,omitempty"`
 	// Answer is set on the answer to a message, which gets no answer itself.
 	Answer bool `json:"answer,omitempty"`
+	// Reading tells of each collection that the sender does not have how much of it
+	// it has read from the store: one more than the number of objects, or zero if it
+	// reads none. Promised tells the same of a host that the sender heard of.
+	Reading  [catalog.KindCount]int `json:"reading"`
+	Promised [catalog.KindCount]int `json:"promised"`
 }
 
 type member struct {
@@ -71,6 +80,8 @@
 	heard   time.Duration
 	leaving bool
 	rank    uint64
+	// lacking is set for a collection that the host did not have by its last message.
+	lacking [catalog.KindCount]bool
 }
 
 // Membership is what a host knows of the others.
@@ -93,6 +104,11 @@
 // Hear notes a message.
 func (m *Membership) Hear(k *Message, now time.Duration) {
 	m.hear(k.From, now, k.Leaving)
+	if o := m.members[k.From.ID]; o != nil {
+		for kind := range o.lacking {
+			o.lacking[kind] = !k.States[kind].Valid
+		}
+	}
 	for _, c := range k.Contacts {
 		heard := now - time.Duration(c.Age)*time.Millisecond
 		if old := m.members[c.ID]; old == nil || heard > old.heard && old.Address == c.Address && !old.leaving {
@@ -129,6 +145,19 @@
 	return count
 }
 
+// Lacking returns the addresses of live hosts that lack a collection as far as
+// this one knows. Each is returned once until its next message.
+func (m *Membership) Lacking(kind catalog.Kind, now time.Duration) []string {
+	var list []string
+	for _, o := range m.list {
+		if o.lacking[kind] && o.alive(now) {
+			o.lacking[kind] = false
+			list = append(list, o.Address)
+		}
+	}
+	return list
+}
+
 // Isolated reports whether the host knows others, of which none is alive for it:
 // more likely it is cut off than all of them are down.
 func (m *Membership) Isolated(now time.Duration) bool {
@@ -148,6 +177,19 @@
 
 func (o *member) alive(now time.Duration) bool { return !o.leaving && now-o.heard <= aliveLimit }
 
+// Seed reports whether an address is that of a seed.
+func (m *Membership) Seed(address string) bool { return slices.Contains(m.seeds, address) }
+
+// YieldsTo reports whether this host leaves reading the store to the sender of a
+// message: hosts that start before the seeds all read, and the seeds are enough,
+// which everybody knows.
+func (m *Membership) YieldsTo(k *Message) bool {
+	return m.Seed(k.From.Address) && !m.IsSeed()
+}
+
+// IsSeed reports whether this host is a seed of others.
+func (m *Membership) IsSeed() bool { return m.Seed(m.self.Address) }
+
 // Rank returns the host's place among the live hosts. A data centre that is cut
 // off has ranks of its own. The order differs by collection, so that no host
 // does all the work.
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -86,7 +86,7 @@
 		to.catalog.Merge(catalog.Targets, from.catalog.Changes(catalog.Targets, since), complete, f.now)
 		return
 	}
-	if gossip.NeedsAnswer(&m, to.catalog.State(catalog.Targets, f.now), state) {
+	if gossip.NeedsAnswer(&m, to.catalog.State(catalog.Targets, f.now), state, false) {
 		answer := f.message(to)
 		answer.Answer, answer.Contacts = true, nil
 		f.deliver(to, from, answer)
@@ -111,7 +111,7 @@
 
 func (f *fleet) ask(h *host) {
 	rank := h.members.Rank(catalog.Targets, f.now)
-	if call, due := h.asker.Next(h.catalog, rank, f.now); due {
+	if call, due := h.asker.Next(h.catalog, rank, false, f.now); due {
 		f.calls++
 		f.called[h], f.running[h] = call, f.now+min(call.Wait, bound)
 	}
@@ -129,7 +129,9 @@
 	if f.revision > call.Since {
 		b.Objects = []catalog.Object{{Name: "t", Revision: f.revision, Target: &catalog.Target{Key: f.revision}}}
 	}
-	h.catalog.Merge(catalog.Targets, b, f.now, f.now)
+	if b, complete, done := h.asker.Take(call, b, f.now, f.now); done {
+		h.catalog.Merge(catalog.Targets, b, complete, f.now)
+	}
 	h.asker.Done(catalog.Answered, rank, f.now)
 }
 
--- /dev/null
+++ b/internal/gossip/script_test.go
@@ -0,0 +1,99 @@
+package gossip_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"oriolevalve/internal/golden"
+	"oriolevalve/internal/gossip"
+
+	"github.com/stretchr/testify/require"
+)
+
+// script plays the lines of an input. "at" sets the time; the others are left to
+// the function, which writes what they do.
+func script(t *testing.T, input []byte, play func(words []string, now time.Duration, out *strings.Builder)) string {
+	var out strings.Builder
+	var now time.Duration
+	for line := range strings.Lines(string(input)) {
+		words := strings.Fields(line)
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		fmt.Fprintln(&out, strings.TrimSpace(line))
+		if words[0] == "at" {
+			var err error
+			now, err = time.ParseDuration(words[1])
+			require.NoError(t, err)
+		}
+		play(words, now, &out)
+	}
+	return out.String()
+}
+
+// Guards against askers that wait for ever or all ask one host, and against a
+// host that sends its collection to all of them at once.
+func TestAdmission(t *testing.T) {
+	golden.Run(t, "testdata/admission/*/input", func(t *testing.T, input []byte) string {
+		var a gossip.Admission
+		names := map[gossip.Verdict]string{gossip.Send: "send", gossip.Redirect: "redirect"}
+		return script(t, input, func(words []string, now time.Duration, out *strings.Builder) {
+			enter := func(address string) {
+				a.Enter(address, now, func(v gossip.Verdict, redirect string) {
+					fmt.Fprintln(out, strings.TrimRight(fmt.Sprint("  ", address, ": ", names[v], " ", redirect), " "))
+				})
+			}
+			switch words[0] {
+			case "ready":
+				a.Ready()
+			case "enter":
+				enter(words[1])
+			case "fill":
+				count, err := strconv.Atoi(words[1])
+				require.NoError(t, err)
+				for range count {
+					a.Enter("x", now, func(gossip.Verdict, string) {})
+				}
+			case "leave":
+				a.Leave(words[1], words[2] == "served", now)
+			case "at":
+				a.Tick(now)
+			}
+		})
+	})
+}
+
+// Guards against hosts that read from the store what others are about to send
+// them, and against hosts that wait for others in vain.
+func TestSources(t *testing.T) {
+	golden.Run(t, "testdata/sources/*/input", func(t *testing.T, input []byte) string {
+		s := gossip.NewSources(rand.New(rand.NewPCG(1, 2)))
+		return script(t, input, func(words []string, now time.Duration, out *strings.Builder) {
+			switch words[0] {
+			case "offer":
+				s.Offer(words[1], now)
+			case "promise":
+				reading, err := strconv.Atoi(words[1])
+				require.NoError(t, err)
+				s.Promise(reading, now)
+			case "promised":
+				fmt.Fprintln(out, "  ", s.Promised(now))
+			case "expecting":
+				fmt.Fprintln(out, "  ", s.Expecting(now))
+			case "next":
+				address, due := s.Next(now)
+				fmt.Fprintln(out, "  ", address, due)
+			case "done":
+				redirect := ""
+				if words[1] == "redirect" {
+					redirect = words[2]
+				}
+				s.Done(words[1] == "ok", redirect, now)
+			}
+		})
+	})
+}
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -54,6 +54,7 @@
 	ConfigurationAdopted  = "configuration_adopted"
 	TargetsChanged        = "targets_changed"
 	ChangesNotFetched     = "changes_not_fetched"
+	FetchRedirected       = "fetch_redirected"
 	TargetSilent          = "target_silent"
 	TargetAnswers         = "target_answers"
 	TargetListed          = "target_listed"
@@ -81,7 +82,7 @@
 		OwnershipTaken, OwnershipReleased, HandoverSent, HandoverReceived, HandoverFailed,
 		TargetEjected, TargetReturned,
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
-		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, ChangesNotFetched,
+		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, ChangesNotFetched, FetchRedirected,
 		TargetSilent, TargetAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, ListenerAnswersFailed,
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -26,12 +26,6 @@
 	// peerWait is the time for which a starting host waits for the catalog of
 	// another host before it asks the store. A fetch takes 25 ms on 0.09 of a core.
 	peerWait = 40 * time.Millisecond
-	// changeWait is the time for which another host's question waits for the
-	// control goroutine.
-	changeWait = time.Second
-	// watchAnswerAge is the age given to an answer with changes: the store sends
-	// it as soon as there is one, and a slow store takes this long.
-	watchAnswerAge = 300 * time.Millisecond
 )
 
 // control keeps what the host knows. All its state belongs to one goroutine;
@@ -49,11 +43,11 @@
 	catalog *catalog.Catalog
 	members *gossip.Membership
 	askers  [catalog.KindCount]*catalog.Asker
-	// fetching is set while changes are fetched from another host.
-	fetching [catalog.KindCount]bool
-	leaving  bool
-	context  context.Context
-	spoken   time.Duration
+	sources [catalog.KindCount]*gossip.Sources
+	server  *gossip.Server
+	leaving bool
+	context context.Context
+	spoken  time.Duration
 	// shown is what the published view was made of.
 	shown viewBasis
 	// reachable is the last outcome of a call to the store.
@@ -85,8 +79,10 @@
 	c.members = gossip.NewMembership(c.self, seeds, n.random())
 	for i := range c.askers {
 		c.askers[i] = catalog.NewAsker(catalog.Kind(i), c.bound(catalog.Kind(i)), peerWait)
+		c.sources[i] = gossip.NewSources(n.random())
 	}
 	c.store = n.newStore(c.malformed)
+	c.server = gossip.NewServer(c, n.clock)
 	return c
 }
 
@@ -115,6 +111,7 @@
 		case <-timer:
 			timer = c.node.clock.After(tick)
 			c.ask()
+			c.fetchDue()
 			c.show()
 			if c.node.now()-c.spoken >= gossip.Interval {
 				c.speak()
@@ -144,7 +141,7 @@
 func (c *control) ask() {
 	now := c.node.now()
 	for _, kind := range []catalog.Kind{catalog.Configurations, catalog.Targets} {
-		if call, due := c.askers[kind].Next(c.catalog, c.rank(kind, now), now); due {
+		if call, due := c.askers[kind].Next(c.catalog, c.rank(kind, now), c.sources[kind].Expecting(now), now); due {
 			go c.call(call, now)
 		}
 	}
@@ -179,17 +176,14 @@
 		outcome = catalog.Failed
 	}
 	c.node.metrics.called(call.Kind, outcome)
+	var complete time.Duration
+	taken := false
+	if outcome == catalog.Answered {
+		batch, complete, taken = c.askers[call.Kind].Take(call, batch, started, now)
+	}
 	c.noteStore(call, outcome, now-started, err)
 	c.askers[call.Kind].Done(outcome, c.rank(call.Kind, now), now)
-	if outcome == catalog.Answered {
-		complete := started
-		switch {
-		case call.List:
-		case len(batch.Objects) == 0:
-			complete = min(now, started+call.Wait)
-		default:
-			complete = max(started, now-watchAnswerAge)
-		}
+	if taken {
 		c.merge(call.Kind, batch, complete, "store")
 	}
 	c.ask()
@@ -217,9 +211,15 @@
 // merge adds what the store or another host said, and passes news on at once.
 func (c *control) merge(kind catalog.Kind, batch catalog.Batch, complete time.Duration, source string) {
 	now := c.node.now()
+	_, known := c.catalog.Age(kind, now)
 	if !c.catalog.Merge(kind, batch, complete, now) {
 		return
 	}
+	if !known {
+		// Hosts that started earlier wait for it.
+		c.server.Ready(kind)
+		c.tell(c.message(now, nil), c.members.Lacking(kind, now)...)
+	}
 	configuration := c.catalog.Configuration()
 	if configuration != nil {
 		c.node.metrics.version.Store(configuration.Version)
@@ -351,10 +351,24 @@
 	m := gossip.Message{From: c.self, Leaving: c.leaving, Contacts: contacts}
 	for kind := range m.States {
 		m.States[kind] = c.catalog.State(catalog.Kind(kind), now)
+		if !m.States[kind].Valid {
+			m.Reading[kind], m.Promised[kind] = c.askers[kind].Reading(), c.sources[kind].Promised(now)
+		}
 	}
 	return m
 }
 
+// heed notes how far other hosts are with a list that this one lacks. Seeds read
+// from the store whatever the others do.
+func (c *control) heed(kind catalog.Kind, m *gossip.Message, now time.Duration) {
+	if !c.members.IsSeed() {
+		c.sources[kind].Promise(max(m.Reading[kind], m.Promised[kind]), now)
+	}
+	if c.members.YieldsTo(m) {
+		c.askers[kind].Yield(m.Reading[kind])
+	}
+}
+
 // tell sends a message to hosts.
 func (c *control) tell(m gossip.Message, addresses ...string) {
 	data, err := json.Marshal(m)
@@ -418,11 +432,17 @@
 		kind, state := catalog.Kind(i), m.States[i]
 		complete := now - time.Duration(state.Age)*time.Millisecond
 		if c.catalog.Confirm(kind, state, complete, now) {
-			c.fetch(kind, m.From.Address)
+			c.sources[kind].Offer(m.From.Address, now)
 			continue
 		}
-		behind = behind || gossip.NeedsAnswer(m, c.catalog.State(kind, now), state)
+		own := c.catalog.State(kind, now)
+		if !own.Valid {
+			c.heed(kind, m, now)
+		}
+		promised := c.askers[kind].Reading() > 0 || c.sources[kind].Promised(now) > 0
+		behind = behind || gossip.NeedsAnswer(m, own, state, promised)
 	}
+	c.fetchDue()
 	if !behind {
 		return
 	}
@@ -431,57 +451,6 @@
 	c.tell(answer, m.From.Address)
 }
 
-// fetch gets the changes of a collection from another host.
-func (c *control) fetch(kind catalog.Kind, address string) {
-	if c.fetching[kind] {
-		return
-	}
-	to, err := c.peer(address)
-	if err != nil {
-		c.node.log.Warn(logs.ChangesNotFetched, zap.Stringer("collection", kind), zap.String("from", address), logs.Cause(err))
-		return
-	}
-	c.fetching[kind] = true
-	started, since := c.node.now(), uint64(0)
-	if state := c.catalog.State(kind, started); state.Valid {
-		since = state.Revision
-	}
-	go func() {
-		batch, age, err := gossip.Fetch(c.context, to.String(), kind, since)
-		c.do(func() {
-			c.fetching[kind] = false
-			if err != nil {
-				c.node.log.Warn(logs.ChangesNotFetched, zap.Stringer("collection", kind), zap.Stringer("from", to), logs.Cause(err))
-				return
-			}
-			c.merge(kind, batch, started-age, to.Addr().String())
-		})
-	}()
-}
-
-// Changes implements gossip.Answerer.
-func (c *control) Changes(kind catalog.Kind, since uint64) (catalog.Batch, time.Duration, error) {
-	type answer struct {
-		batch catalog.Batch
-		age   time.Duration
-		valid bool
-	}
-	answers := make(chan answer, 1)
-	c.do(func() {
-		age, valid := c.catalog.Age(kind, c.node.now())
-		answers <- answer{c.catalog.Changes(kind, since), age, valid}
-	})
-	select {
-	case a := <-answers:
-		if !a.valid {
-			return catalog.Batch{}, 0, errors.New("this host has no catalog yet")
-		}
-		return a.batch, a.age, nil
-	case <-c.node.clock.After(changeWait):
-		return catalog.Batch{}, 0, errors.New("this host is too busy")
-	}
-}
-
 // reload reads the settings again. The bounds on ages and the wait of a stop hold
 // at once; names, addresses and the log level are those of the start.
 func (c *control) reload() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,7 +12,6 @@
 
 	"oriolevalve/internal/catalog"
 	"oriolevalve/internal/clock"
-	"oriolevalve/internal/gossip"
 	"oriolevalve/internal/logs"
 	"oriolevalve/internal/packet"
 	"oriolevalve/internal/settings"
@@ -186,7 +185,7 @@
 	control := newControl(n, l.gossip)
 	go func() { failures <- n.forward(l.packets) }()
 	go func() { failures <- control.receive() }()
-	go func() { failures <- gossip.Serve(l.changes, control) }()
+	go func() { failures <- control.server.Serve(l.changes) }()
 	go func() { failures <- n.answerFabric(l.ready) }()
 	if l.metrics != nil {
 		go func() { failures <- n.serveMetrics(l.metrics) }()
