Learn of a cut data centre from two of its targets

Ruled out: gossip of the silence (a cut data centre's hosts can't be heard, and targets that one host takes for silent may answer others).

Change: two targets of a remote data centre that fall silent without a sign of life of any other one speak for all of it for 3 s. The own data centre is never given up as a whole. Lines data_centre_silent and data_centre_answers.

--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -57,6 +57,8 @@
 	FetchRedirected       = "fetch_redirected"
 	TargetSilent          = "target_silent"
 	TargetAnswers         = "target_answers"
+	DataCentreSilent      = "data_centre_silent"
+	DataCentreAnswers     = "data_centre_answers"
 	TargetListed          = "target_listed"
 	TargetRemoved         = "target_removed"
 	FlowPlaced            = "flow_placed"
@@ -83,7 +85,7 @@
 		TargetEjected, TargetReturned,
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
 		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, ChangesNotFetched, FetchRedirected,
-		TargetSilent, TargetAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
+		TargetSilent, TargetAnswers, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, ListenerAnswersFailed,
 	}
 }
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -118,10 +118,18 @@
 }
 
 func (n *Node) logBelief(b packet.Belief) {
+	switch {
+	case b.Target == "" && b.Silent:
+		n.log.Warn(logs.DataCentreSilent, zap.String("data_centre", b.DataCentre), zap.Int("targets", b.Repeats), zap.Duration("silence", b.Silence))
+		return
+	case b.Target == "":
+		n.log.Info(logs.DataCentreAnswers, zap.String("data_centre", b.DataCentre), zap.Bool("retried", b.Retried))
+		return
+	}
 	if !b.Silent {
-		n.log.Info(logs.TargetAnswers, zap.String("target", b.Target), zap.Bool("retried", b.Retried))
+		n.log.Info(logs.TargetAnswers, zap.String("target", b.Target), zap.String("data_centre", b.DataCentre), zap.Bool("retried", b.Retried))
 		return
 	}
-	n.log.Warn(logs.TargetSilent, zap.String("target", b.Target), zap.Int("repeats", b.Repeats),
+	n.log.Warn(logs.TargetSilent, zap.String("target", b.Target), zap.String("data_centre", b.DataCentre), zap.Int("repeats", b.Repeats),
 		zap.Bool("opening_unanswered", b.Unanswered), zap.Duration("silence", b.Silence))
 }
--- a/internal/packet/load_test.go
+++ b/internal/packet/load_test.go
@@ -72,15 +72,25 @@
 	r := &request{
 		plane: plane, flow: packet.Flow{Client: clientAddress(s.clients), Service: serviceAddress(0)}, started: s.now, work: work,
 	}
-	k := packet.Packet{Flow: r.flow, Synchronize: true, Sequence: 1}
-	d := plane.Decide(s.now, &k)
+	s.open(r, 0)
+}
+
+// copies are the times from one opening packet of a client to the next.
+var copies = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+
+// open plays an opening packet or a copy of it. A client gives up after the last.
+func (s *site) open(r *request, repeats int) {
+	d := r.plane.Decide(s.now, &packet.Packet{Flow: r.flow, Synchronize: true, Sequence: 1, Acknowledgement: uint32(repeats)})
 	if d.Action != packet.Forward || s.cut(d.Target) {
 		s.lost++
+		if repeats < len(copies) {
+			s.at(copies[repeats], func() { s.open(r, repeats+1) })
+		}
 		return
 	}
 	r.target, r.tag = d.Target, d.Tag
 	s.at(2*time.Millisecond, func() {
-		plane.Decide(s.now, &packet.Packet{Flow: r.flow, Tag: r.tag, Sequence: 2, Acknowledgement: 1, Length: 100})
+		r.plane.Decide(s.now, &packet.Packet{Flow: r.flow, Tag: r.tag, Sequence: 2, Acknowledgement: 1, Length: 100})
 		s.serve(r)
 	})
 }
@@ -188,6 +198,34 @@
 	require.Less(t, late+shed, (len(s.done)-before)/10)
 }
 
+// Answers the pattern of data centres that are cut off while their targets are in
+// use: each is learned from a few openings, not target by target. Guards against
+// openings that are lost to 20 targets behind the cut one after the other, by
+// each host, and again whenever their silence is put to the test; and against
+// data centres that stay out of use once they are back.
+func TestCutDataCentresAreLearnedAsOne(t *testing.T) {
+	random := rand.New(rand.NewPCG(11, 12))
+	work := 20 * time.Millisecond
+	s := newSite(3, [3]int{2, 10, 10}, 2, 8)
+	local := 2 * 2 / work.Seconds()
+	s.run(2*time.Second, 2*local, work, random)
+	require.Zero(t, s.lost)
+	s.cut = func(k packet.TargetKey) bool { return k > 2 }
+	const delay = 200 * time.Millisecond
+	s.run(delay, 0.9*local, work, random)
+	unseen := s.lost
+	s.run(2500*time.Millisecond, 0.9*local, work, random)
+	t.Logf("%d openings lost in the first 0.2 s, %d after", unseen, s.lost-unseen)
+	// Openings of the first 0.2 s may lose a copy, and two from each host teach it
+	// about each of two data centres.
+	require.LessOrEqual(t, s.lost-unseen, unseen/2+3*2*2)
+	s.cut = func(packet.TargetKey) bool { return false }
+	s.run(4*time.Second, 0.9*local, work, random)
+	before := s.servers[3].started
+	s.run(2*time.Second, 2*local, work, random)
+	require.Greater(t, s.servers[3].started, before)
+}
+
 // Answers the pattern of targets that die without a word: they take no more than
 // the openings of one client's patience each. Guards against hosts that learn
 // nothing from openings without an answer.
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -58,13 +58,17 @@
 	targets  map[TargetKey]*targetRecord
 	tags     map[uint32]*targetRecord
 	services map[string]*service
-	sweep    []Flow
-	beliefs  []Belief
+	// dataCentres are those of targets but for the host's own one.
+	dataCentres map[string]*dataCentreRecord
+	sweep       []Flow
+	beliefs     []Belief
 }
 
-// Belief is a change of what the plane thinks of a target.
+// Belief is a change of what the plane thinks of a target or of a data centre.
 type Belief struct {
-	Target string
+	// Target is empty if the belief is about a data centre.
+	Target     string
+	DataCentre string
 	// Silent is set if the target gets no new flows while others answer.
 	Silent bool
 	// Repeats is the number of packets that clients repeated, Unanswered is set if
@@ -87,7 +91,7 @@
 
 // reconsider notes whether the belief about a target has changed.
 func (p *Plane) reconsider(now time.Duration, t *targetRecord) {
-	b := Belief{Target: t.Name, Repeats: t.repeats, Unanswered: t.unanswered}
+	b := Belief{Target: t.Name, DataCentre: t.DataCentre, Repeats: t.repeats, Unanswered: t.unanswered}
 	if t.silentSince != 0 {
 		b.Silence = now - t.silentSince
 	}
@@ -98,13 +102,28 @@
 	b.Retried = t.retried
 	t.doubted = b.Silent
 	p.beliefs = append(p.beliefs, b)
+	if b.Silent && t.dataCentre != nil {
+		t.dataCentre.fellSilent(now)
+	}
+}
+
+// reconsiderDataCentres notes changes of the beliefs about data centres.
+func (p *Plane) reconsiderDataCentres(now time.Duration) {
+	for _, d := range p.dataCentres {
+		if unreachable := d.unreachable(now); unreachable != d.doubted {
+			d.doubted = unreachable
+			p.beliefs = append(p.beliefs, Belief{
+				DataCentre: d.name, Silent: unreachable, Silence: now - d.since, Repeats: d.silent, Retried: !unreachable && d.silent > 0,
+			})
+		}
+	}
 }
 
 // NewPlane returns a plane without a view: it drops every packet.
 func NewPlane(random *rand.Rand) *Plane {
 	return &Plane{
 		random: random, flows: map[Flow]*flowRecord{}, targets: map[TargetKey]*targetRecord{},
-		tags: map[uint32]*targetRecord{}, services: map[string]*service{},
+		tags: map[uint32]*targetRecord{}, services: map[string]*service{}, dataCentres: map[string]*dataCentreRecord{},
 	}
 }
 
@@ -132,6 +151,7 @@
 			p.targets[target.Key] = t
 		}
 		t.Target, t.listed, t.local = *target, true, target.DataCentre == v.dataCentre
+		t.dataCentre = p.dataCentreOf(t)
 		p.tags[target.Key.Tag()] = t
 		if t.State != Accepting && t.State != Lapsed {
 			continue
@@ -156,6 +176,20 @@
 	p.measure()
 }
 
+// dataCentreOf returns the record of a remote target's data centre. Data centres are
+// few and stay.
+func (p *Plane) dataCentreOf(t *targetRecord) *dataCentreRecord {
+	if t.local {
+		return nil
+	}
+	d := p.dataCentres[t.DataCentre]
+	if d == nil {
+		d = &dataCentreRecord{name: t.DataCentre}
+		p.dataCentres[t.DataCentre] = d
+	}
+	return d
+}
+
 // measure renews what placement knows of each service.
 func (p *Plane) measure() {
 	for _, s := range p.services {
@@ -387,6 +421,7 @@
 // flows within 14 s and 11,000 within 28 s.
 func (p *Plane) Sweep(now time.Duration) {
 	p.measure()
+	p.reconsiderDataCentres(now)
 	if len(p.sweep) == 0 {
 		for key := range p.flows {
 			p.sweep = append(p.sweep, key)
--- a/internal/packet/plane_test.go
+++ b/internal/packet/plane_test.go
@@ -262,9 +262,9 @@
 	open(1, 0, 0)
 	require.Empty(t, plane.Beliefs())
 	tag := open(1, 200*time.Millisecond, 1).Tag
-	require.Equal(t, []packet.Belief{{Target: "one", Silent: true, Repeats: 1, Unanswered: true}}, plane.Beliefs())
+	require.Equal(t, []packet.Belief{{Target: "one", DataCentre: "a", Silent: true, Repeats: 1, Unanswered: true}}, plane.Beliefs())
 	acknowledge(1, 300*time.Millisecond, tag)
-	require.Equal(t, []packet.Belief{{Target: "one"}}, plane.Beliefs())
+	require.Equal(t, []packet.Belief{{Target: "one", DataCentre: "a"}}, plane.Beliefs())
 	open(2, 5*time.Second, 0)
 	open(2, 5200*time.Millisecond, 1)
 	require.Len(t, plane.Beliefs(), 1)
@@ -273,7 +273,46 @@
 	plane.Decide(9050*time.Millisecond, &packet.Packet{
 		Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(0)}, Tag: tag, Sequence: 2, Acknowledgement: 9,
 	})
-	require.Equal(t, []packet.Belief{{Target: "one", Retried: true}}, plane.Beliefs())
+	require.Equal(t, []packet.Belief{{Target: "one", DataCentre: "a", Retried: true}}, plane.Beliefs())
 	open(3, 9200*time.Millisecond, 1)
 	require.Len(t, plane.Beliefs(), 1)
 }
+
+// Guards against a data centre that new flows avoid without a line that says so,
+// and against one that is given up because a single target of it died.
+func TestBeliefsAboutDataCentresAreReported(t *testing.T) {
+	plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+	var targets []packet.Target
+	for key := range 3 {
+		targets = append(targets, packet.Target{Key: packet.TargetKey(key + 1), Name: fmt.Sprint(key + 1), Service: "s", DataCentre: "b", Slots: 9})
+	}
+	routes := []packet.Route{{Address: serviceAddress(0), Services: []packet.ServiceShare{{Service: "s", Weight: 1}}}}
+	plane.SetView(packet.NewView("a", 1, routes, targets, true))
+	client := 0
+	lose := func(at time.Duration) packet.Decision {
+		client++
+		k := packet.Packet{Flow: packet.Flow{Client: clientAddress(client), Service: serviceAddress(0)}, Synchronize: true, Sequence: 1}
+		d := plane.Decide(at, &k)
+		k.Acknowledgement = 1
+		plane.Decide(at+200*time.Millisecond, &k)
+		return d
+	}
+	beliefs := func(at time.Duration) []packet.Belief {
+		plane.Sweep(at)
+		var list []packet.Belief
+		for _, b := range plane.Beliefs() {
+			if b.Target == "" {
+				list = append(list, b)
+			}
+		}
+		return list
+	}
+	lose(0)
+	require.Empty(t, beliefs(200*time.Millisecond))
+	d := lose(300 * time.Millisecond)
+	require.Equal(t, []packet.Belief{{DataCentre: "b", Silent: true, Repeats: 2, Silence: 300 * time.Millisecond}}, beliefs(500*time.Millisecond))
+	plane.Decide(600*time.Millisecond, &packet.Packet{
+		Flow: packet.Flow{Client: clientAddress(client), Service: serviceAddress(0)}, Tag: d.Tag, Sequence: 2, Acknowledgement: 9,
+	})
+	require.Equal(t, []packet.Belief{{DataCentre: "b", Silence: 400 * time.Millisecond}}, beliefs(600*time.Millisecond))
+}
--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -141,7 +141,7 @@
 		if t == excluded || t == alsoExcluded {
 			continue
 		}
-		load, silent := t.load(now, s.response), t.silent(now)
+		load, silent := t.load(now, s.response), t.avoided(now)
 		if t.recent > bound {
 			load += overBound
 		}
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -24,6 +24,9 @@
 type targetRecord struct {
 	Target
 	local bool
+	// dataCentre is that of the target; nil for the host's own one, which is never
+	// given up as a whole.
+	dataCentre *dataCentreRecord
 	// open is the number of flows, active that of flows that wait for a response.
 	open, active int
 	// silentSince is the time of the first repeat since the last progress; zero
@@ -48,7 +51,19 @@
 
 // progress notes a sign of life.
 func (t *targetRecord) progress() {
-	t.silentSince, t.repeats, t.unanswered, t.retried = 0, 0, false, false
+	t.forget()
+	t.retried = false
+	if t.dataCentre != nil {
+		t.dataCentre.progress()
+	}
+}
+
+// forget drops what speaks for silence.
+func (t *targetRecord) forget() { t.silentSince, t.repeats, t.unanswered = 0, 0, false }
+
+// avoided reports whether the target or its data centre seems dead.
+func (t *targetRecord) avoided(now time.Duration) bool {
+	return t.silent(now) || t.dataCentre != nil && t.dataCentre.unreachable(now)
 }
 
 // repeat notes that a client repeated a packet that the target did not answer.
@@ -80,7 +95,7 @@
 	}
 	silence := now - t.silentSince
 	if silence > silenceRetry {
-		t.progress()
+		t.forget()
 		t.retried = true
 		return false
 	}
