Show what a packet host knows: node-status and /status

Ruled out: labels of the metrics by target: 1,100 hosts before 11,000 targets are twelve million series.

Change: the address of the metrics also serves /status: readiness, live hosts, age, revision and rank of each collection, and by target its state, flows, mean response time and belief with its reason. oriolevalve node-status prints it.

Tests: TestStatusTellsWhatAHostKnows against running hosts, TestNodeStatus for the table, the documented commands run.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -33,6 +33,7 @@
 		serviceCommand(),
 		targetCommand(),
 		statusCommand(),
+		nodeStatusCommand(),
 		auditCommand(),
 		operationCommand(),
 		checkCommand(),
--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"regexp"
 	"strconv"
@@ -182,11 +184,16 @@
 	lines := regexp.MustCompile("(?m)^ +oriolevalve (.*)$").FindAllSubmatch(text, -1)
 	require.Greater(t, len(lines), 30)
 	t.Chdir("../..")
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{}`)) }))
+	defer node.Close()
 	for _, line := range lines {
 		arguments := strings.Fields(string(line[1]))
 		for i, a := range arguments {
-			if a == "127.0.0.11:7102" {
+			switch a {
+			case "127.0.0.11:7102":
 				arguments[i] = f.address
+			case "127.0.1.1:7375", "127.0.1.2:7375":
+				arguments[i] = strings.TrimPrefix(node.URL, "http://")
 			}
 		}
 		t.Setenv("ORIOLEVALVE_HOST", f.address)
--- a/internal/commands/output.go
+++ b/internal/commands/output.go
@@ -19,6 +19,18 @@
 	err    error
 }
 
+func newTable(out io.Writer) *tableWriter {
+	return &tableWriter{writer: tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)}
+}
+
+// flush writes the rows that are left.
+func (w *tableWriter) flush() error {
+	if err := w.writer.Flush(); err != nil {
+		return errors.Wrap(err, "writing the answer")
+	}
+	return errors.Wrap(w.err, "writing the answer")
+}
+
 func (w *tableWriter) row(cells ...string) {
 	if w.err == nil {
 		_, w.err = io.WriteString(w.writer, strings.Join(cells, "\t")+"\n")
@@ -42,10 +54,7 @@
 		_, err = indented.WriteTo(out)
 		return errors.Wrap(err, "writing the answer")
 	}
-	w := &tableWriter{writer: tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)}
+	w := newTable(out)
 	fill(w)
-	if err := w.writer.Flush(); err != nil {
-		return errors.Wrap(err, "writing the answer")
-	}
-	return errors.Wrap(w.err, "writing the answer")
+	return w.flush()
 }
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -69,6 +69,7 @@
 	PacketNotSent         = "packet_not_sent"
 	GossipMessageNotSent  = "gossip_message_not_sent"
 	GossipMessageRefused  = "gossip_message_refused"
+	StatusNotSent         = "status_not_sent"
 	ListenerAnswersFailed = "listener_answers_failed"
 )
 
@@ -86,6 +87,6 @@
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
 		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, ChangesNotFetched, FetchRedirected,
 		TargetSilent, TargetAnswers, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
-		GossipMessageNotSent, GossipMessageRefused, ListenerAnswersFailed,
+		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,9 @@
 	metrics  *metrics
 	view     atomic.Pointer[packet.View]
 	ready    atomic.Bool
+	// statusWanted asks the packet goroutine for targets.
+	statusWanted atomic.Bool
+	targets      atomic.Pointer[targetReport]
 	// prepared is closed once the first view is published.
 	prepared chan struct{}
 	// stopWait is the setting in force, in nanoseconds.
@@ -188,7 +191,7 @@
 	go func() { failures <- control.server.Serve(l.changes) }()
 	go func() { failures <- n.answerFabric(l.ready) }()
 	if l.metrics != nil {
-		go func() { failures <- n.serveMetrics(l.metrics) }()
+		go func() { failures <- n.serveReports(l.metrics, control) }()
 	}
 	running, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -20,7 +20,13 @@
 	}))
 }
 
-func (n *Node) serveMetrics(l net.Listener) error { return serve(l, n.metrics.handler()) }
+// serveReports serves the metrics, and the host's status at StatusPath.
+func (n *Node) serveReports(l net.Listener, c *control) error {
+	mux := http.NewServeMux()
+	mux.Handle("/", n.metrics.handler())
+	mux.HandleFunc(StatusPath, func(w http.ResponseWriter, r *http.Request) { n.answerStatus(w, r, c) })
+	return serve(l, mux)
+}
 
 func serve(l net.Listener, h http.Handler) error {
 	server := &http.Server{Handler: h, ReadTimeout: readyTimeout, WriteTimeout: readyTimeout, IdleTimeout: time.Minute}
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -55,6 +55,9 @@
 			swept = now
 			plane.Sweep(now)
 			n.metrics.flows.Set(float64(plane.Flows()))
+			if n.statusWanted.CompareAndSwap(true, false) {
+				n.targets.Store(&targetReport{at: now, targets: plane.Status(now)})
+			}
 		}
 		d := plane.Decide(now, &k)
 		if k.Synchronize {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -134,6 +134,11 @@
 	Gone
 )
 
+var stateNames = [...]string{"accepting", "draining", "lapsed", "departed", "gone"}
+
+// String returns the name of the state in logs and reports.
+func (s TargetState) String() string { return stateNames[s] }
+
 // Target is a target as the view describes it.
 type Target struct {
 	Key        TargetKey
