Keep flows in their region while it has free slots

Cause: targets of another region counted like those of another data centre, so flows left the region with any spill: 8 ms each way for each packet, and a loss of the way between regions, minutes long several times a year, broke them.

Change: three groups of targets instead of two, own data centre, own region, others; flows spill from one to the next by the use of its slots. Settings name the data centres with their regions; without them nothing changes.

Tests: TestRegionServesItself.

--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -164,15 +164,15 @@
 	return len(m.list) > 0 && m.Alive(now) == 0
 }
 
-// Local returns the number of live hosts of the own data centre, with this one.
-func (m *Membership) Local(now time.Duration) int {
-	count := 1
+// Hosts returns the numbers of live hosts, with this one, by data centre.
+func (m *Membership) Hosts(now time.Duration) map[string]int {
+	hosts := map[string]int{m.self.DataCentre: 1}
 	for _, o := range m.list {
-		if o.DataCentre == m.self.DataCentre && o.alive(now) {
-			count++
+		if o.alive(now) {
+			hosts[o.DataCentre]++
 		}
 	}
-	return count
+	return hosts
 }
 
 func (o *member) alive(now time.Duration) bool { return !o.leaving && now-o.heard <= aliveLimit }
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -245,7 +245,7 @@
 	require.Empty(t, m.Partners(1))
 	m.Hear(&gossip.Message{From: gossip.Host{ID: "h2", DataCentre: "a", Address: "10.0.0.2"}}, 1)
 	require.Equal(t, 1, m.Alive(1))
-	require.Equal(t, 2, m.Local(1))
+	require.Equal(t, map[string]int{"a": 2}, m.Hosts(1))
 	m.Hear(&gossip.Message{From: gossip.Host{ID: "h2", DataCentre: "a", Address: "10.0.0.2"}, Leaving: true}, 2)
 	require.Zero(t, m.Alive(2))
 	require.Zero(t, m.Rank(catalog.Targets, 2))
@@ -268,7 +268,7 @@
 				for range 10 {
 					h.members.Rank(catalog.Targets, f.now)
 					h.members.Rank(catalog.Configurations, f.now)
-					h.members.Local(f.now)
+					h.members.Hosts(f.now)
 					h.members.Isolated(f.now)
 				}
 				for range time.Second / gossip.Interval {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -41,6 +41,8 @@
 	tasks   chan func()
 	store   Store
 	catalog *catalog.Catalog
+	// regions are those of data centres, if there is more than one region.
+	regions map[string]string
 	members *gossip.Membership
 	askers  [catalog.KindCount]*catalog.Asker
 	sources [catalog.KindCount]*gossip.Sources
@@ -58,9 +60,12 @@
 type viewBasis struct {
 	states     [catalog.KindCount]uint64
 	departures catalog.Departures
-	hosts      int
+	hosts      hostCounts
 }
 
+// hostCounts are the numbers of live hosts that share targets, with this one.
+type hostCounts struct{ dataCentre, region, fleet int }
+
 func newControl(n *Node, socket *net.UDPConn) *control {
 	local := socket.LocalAddr().(*net.UDPAddr).AddrPort()
 	c := &control{
@@ -71,6 +76,7 @@
 			catalog.WithRetention(n.settings.FlowLifetime.Std()), catalog.WithGapLimit(n.settings.TargetsAge.Std()),
 		),
 	}
+	c.regions = regions(n.settings.DataCentres)
 	var seeds []string
 	for _, seed := range n.settings.Seeds {
 		// The settings were checked.
@@ -267,7 +273,7 @@
 		return
 	}
 	defer c.noteReady(now)
-	basis := viewBasis{departures: c.catalog.Departures(now), hosts: c.members.Local(now)}
+	basis := viewBasis{departures: c.catalog.Departures(now), hosts: c.hosts(now)}
 	for kind := range basis.states {
 		basis.states[kind] = c.catalog.State(catalog.Kind(kind), now).Sum
 	}
@@ -275,13 +281,46 @@
 		return
 	}
 	c.shown = basis
-	first := c.node.view.Swap(packet.NewView(c.node.settings.DataCentre, basis.hosts,
-		routes(configuration), targets(c.catalog.Members(now), now), basis.departures.Complete)) == nil
+	first := c.node.view.Swap(packet.NewView(
+		c.node.settings.DataCentre, routes(configuration), targets(c.catalog.Members(now), now),
+		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
+		packet.WithRegions(c.regions), packet.WithComplete(basis.departures.Complete),
+	)) == nil
 	if first {
 		close(c.node.prepared)
 	}
 }
 
+// regions returns the regions of data centres, and nil if there is only one, so
+// that far targets and the number of hosts that share them need no attention.
+func regions(list []settings.DataCentre) map[string]string {
+	byName, names := map[string]string{}, map[string]bool{}
+	for _, d := range list {
+		byName[d.Name], names[d.Region] = d.Region, true
+	}
+	if len(names) < 2 {
+		return nil
+	}
+	return byName
+}
+
+// hosts counts the live hosts. Only the own data centre counts if there is one
+// region: a change of the others would renew the view for nothing.
+func (c *control) hosts(now time.Duration) hostCounts {
+	hosts, own := c.members.Hosts(now), c.node.settings.DataCentre
+	counts := hostCounts{dataCentre: hosts[own]}
+	if c.regions == nil {
+		return counts
+	}
+	for dataCentre, count := range hosts {
+		counts.fleet += count
+		if c.regions[dataCentre] == c.regions[own] {
+			counts.region += count
+		}
+	}
+	return counts
+}
+
 // noteReady asks the fabric for packets, or to send them to other hosts while
 // this one is cut off from them and what it knows is old.
 func (c *control) noteReady(now time.Duration) {
--- a/internal/packet/load_test.go
+++ b/internal/packet/load_test.go
@@ -43,9 +43,12 @@
 	lost    int
 }
 
+// siteRegions puts the data centres d and e into a region of their own.
+var siteRegions = map[string]string{"a": "north", "b": "north", "c": "north", "d": "south", "e": "south"}
+
 // newSite returns hosts in the data centre a and targets of one service: as
-// many in a, b and c as given.
-func newSite(hosts int, targets [3]int, slots, queue int) *site {
+// many in a, b and so on as given.
+func newSite(hosts int, targets [5]int, slots, queue int) *site {
 	s := &site{servers: map[packet.TargetKey]*server{}, later: map[time.Duration][]func(){}, cut: func(packet.TargetKey) bool { return false }}
 	var list []packet.Target
 	for dc, n := range targets {
@@ -58,7 +61,7 @@
 	routes := []packet.Route{{Address: serviceAddress(0), Services: []packet.ServiceShare{{Service: "s", Weight: 1}}}}
 	for i := range hosts {
 		plane := packet.NewPlane(rand.New(rand.NewPCG(uint64(i), 9)))
-		plane.SetView(packet.NewView("a", hosts, routes, list, true))
+		plane.SetView(packet.NewView("a", routes, list, packet.WithHosts(hosts, hosts, hosts), packet.WithComplete(true), packet.WithRegions(siteRegions)))
 		s.planes = append(s.planes, plane)
 	}
 	return s
@@ -156,7 +159,7 @@
 // so 200 must all be taken.
 func TestCrowdAtOneHostFillsAllTargets(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
-	s := newSite(1, [3]int{5, 5, 4}, 3, 12)
+	s := newSite(1, [5]int{5, 5, 4}, 3, 12)
 	s.run(20*time.Millisecond, 10_000, 72*time.Millisecond, random)
 	require.Equal(t, 200, s.clients)
 	s.run(time.Second, 0, time.Millisecond, random)
@@ -176,7 +179,7 @@
 	random := rand.New(rand.NewPCG(5, 6))
 	work := 29 * time.Millisecond
 	capacity := 5 * 2 / work.Seconds()
-	s := newSite(3, [3]int{5, 5, 4}, 2, 8)
+	s := newSite(3, [5]int{5, 5, 4}, 2, 8)
 	s.run(3*time.Second, 0.4*capacity, work, random)
 	s.cut = func(k packet.TargetKey) bool { return k > 5 }
 	s.run(6*time.Second, 0.4*capacity, work, random)
@@ -206,7 +209,7 @@
 func TestCutDataCentresAreLearnedAsOne(t *testing.T) {
 	random := rand.New(rand.NewPCG(11, 12))
 	work := 20 * time.Millisecond
-	s := newSite(3, [3]int{2, 10, 10}, 2, 8)
+	s := newSite(3, [5]int{2, 10, 10}, 2, 8)
 	local := 2 * 2 / work.Seconds()
 	s.run(2*time.Second, 2*local, work, random)
 	require.Zero(t, s.lost)
@@ -226,12 +229,58 @@
 	require.Greater(t, s.servers[3].started, before)
 }
 
+// Answers the pattern of two regions that lose each other for minutes: flows stay
+// in their region while it has free slots, so its loss breaks nothing. Guards
+// against flows that travel between regions without need, against a region that
+// rejects requests while the other one has room, and against openings lost to a
+// region that is cut off.
+func TestRegionServesItself(t *testing.T) {
+	random := rand.New(rand.NewPCG(13, 14))
+	work := 29 * time.Millisecond
+	s := newSite(3, [5]int{3, 3, 3, 6, 6}, 2, 8)
+	region := 9 * 2 / work.Seconds()
+	far := func(k packet.TargetKey) bool { return k > 9 }
+	started := func() (near, distant int) {
+		for key, v := range s.servers {
+			if far(key) {
+				distant += v.started
+			} else {
+				near += v.started
+			}
+		}
+		return near, distant
+	}
+	s.run(4*time.Second, 0.6*region, work, random)
+	_, distant := started()
+	// The means take a moment to show that the region has room.
+	require.Less(t, distant, s.clients/100)
+	s.cut = far
+	before := s.lost
+	s.run(6*time.Second, 0.6*region, work, random)
+	require.Less(t, s.lost-before, s.clients/200)
+	s.cut = func(packet.TargetKey) bool { return false }
+	s.run(4*time.Second, 0, work, random)
+	served := len(s.done)
+	near, distant := started()
+	s.run(6*time.Second, 1.5*region, work, random)
+	nearAfter, distantAfter := started()
+	shed := 0
+	for _, r := range s.done[served:] {
+		if r.shed {
+			shed++
+		}
+	}
+	t.Logf("at 1.5 times the region's capacity %d flows stay, %d go to the other region, %d are rejected", nearAfter-near, distantAfter-distant, shed)
+	require.Less(t, shed, (len(s.done)-served)/100)
+	require.Greater(t, nearAfter-near, distantAfter-distant)
+}
+
 // Answers the pattern of targets that die without a word: they take no more than
 // the openings of one client's patience each. Guards against hosts that learn
 // nothing from openings without an answer.
 func TestDeadTargetsAreAvoided(t *testing.T) {
 	random := rand.New(rand.NewPCG(7, 8))
-	s := newSite(1, [3]int{5, 5, 4}, 2, 8)
+	s := newSite(1, [5]int{5, 5, 4}, 2, 8)
 	s.run(2*time.Second, 100, 20*time.Millisecond, random)
 	s.cut = func(k packet.TargetKey) bool { return k <= 2 }
 	plane := s.planes[0]
@@ -259,7 +308,7 @@
 // its fair share of the flows.
 func TestRejectingTargetDrawsNoMoreThanItsBound(t *testing.T) {
 	random := rand.New(rand.NewPCG(9, 10))
-	s := newSite(1, [3]int{5, 5, 4}, 2, 8)
+	s := newSite(1, [5]int{5, 5, 4}, 2, 8)
 	s.servers[1].slots, s.servers[1].queue = 0, 0
 	s.run(5*time.Second, 150, 20*time.Millisecond, random)
 	local := s.servers[1].shed
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -150,7 +150,7 @@
 			t = &targetRecord{}
 			p.targets[target.Key] = t
 		}
-		t.Target, t.listed, t.local = *target, true, target.DataCentre == v.dataCentre
+		t.Target, t.listed, t.distance = *target, true, v.distance(target)
 		t.dataCentre = p.dataCentreOf(t)
 		p.tags[target.Key.Tag()] = t
 		if t.State != Accepting && t.State != Lapsed {
@@ -179,7 +179,7 @@
 // dataCentreOf returns the record of a remote target's data centre. Data centres are
 // few and stay.
 func (p *Plane) dataCentreOf(t *targetRecord) *dataCentreRecord {
-	if t.local {
+	if t.distance == Local {
 		return nil
 	}
 	d := p.dataCentres[t.DataCentre]
--- a/internal/packet/plane_test.go
+++ b/internal/packet/plane_test.go
@@ -41,7 +41,7 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80), Slots: 1000,
 		}
 	}
-	return packet.NewView("a", 3, routes, list, true)
+	return packet.NewView("a", routes, list, packet.WithHosts(3, 3, 3), packet.WithComplete(true))
 }
 
 // Guards against a packet of an open flow that reaches another target than the
@@ -65,7 +65,7 @@
 			{Address: serviceAddress(1), Services: []packet.ServiceShare{{Service: "s1", Weight: 1}}},
 		}
 		publish := func() {
-			v := packet.NewView("a", 2, routes, slices.Clone(targets), false)
+			v := packet.NewView("a", routes, slices.Clone(targets), packet.WithHosts(2, 2, 2))
 			for _, h := range hosts {
 				h.SetView(v)
 			}
@@ -248,7 +248,7 @@
 	plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
 	targets := []packet.Target{{Key: 1, Name: "one", Service: "s", DataCentre: "a", Slots: 9}}
 	routes := []packet.Route{{Address: serviceAddress(0), Services: []packet.ServiceShare{{Service: "s", Weight: 1}}}}
-	plane.SetView(packet.NewView("a", 1, routes, targets, true))
+	plane.SetView(packet.NewView("a", routes, targets, packet.WithComplete(true)))
 	open := func(client int, at time.Duration, copies uint32) packet.Decision {
 		return plane.Decide(at, &packet.Packet{
 			Flow: packet.Flow{Client: clientAddress(client), Service: serviceAddress(0)}, Synchronize: true, Sequence: 1, Acknowledgement: copies,
@@ -287,7 +287,7 @@
 		targets = append(targets, packet.Target{Key: packet.TargetKey(key + 1), Name: fmt.Sprint(key + 1), Service: "s", DataCentre: "b", Slots: 9})
 	}
 	routes := []packet.Route{{Address: serviceAddress(0), Services: []packet.ServiceShare{{Service: "s", Weight: 1}}}}
-	plane.SetView(packet.NewView("a", 1, routes, targets, true))
+	plane.SetView(packet.NewView("a", routes, targets, packet.WithComplete(true)))
 	client := 0
 	lose := func(at time.Duration) packet.Decision {
 		client++
--- a/internal/packet/script_test.go
+++ b/internal/packet/script_test.go
@@ -32,7 +32,9 @@
 type script struct {
 	DataCentre string `json:"data_centre"`
 	Hosts      int    `json:"hosts"`
-	Steps      []step `json:"steps"`
+	// Regions are those of data centres.
+	Regions map[string]string `json:"regions"`
+	Steps   []step            `json:"steps"`
 }
 
 type step struct {
@@ -101,7 +103,7 @@
 					Key: key(t.Name), Name: t.Name, Service: t.Service, DataCentre: t.DataCentre, Slots: cmp.Or(t.Slots, 20), State: states[t.State],
 				})
 			}
-			plane.SetView(packet.NewView(s.DataCentre, max(1, s.Hosts), routes, targets, v.Complete))
+			plane.SetView(packet.NewView(s.DataCentre, routes, targets, packet.WithHosts(max(1, s.Hosts), 1, 1), packet.WithComplete(v.Complete), packet.WithRegions(s.Regions)))
 			fmt.Fprintf(&out, "%dms view: %d routes, %d targets\n", step.At, len(routes), len(targets))
 		}
 		for range step.Sweeps {
--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -9,8 +9,8 @@
 	// scanLimit is the number of targets of a group that a placement compares.
 	// Beyond it a random part is compared, which bounds the time of a new flow.
 	scanLimit = 32
-	// spillStart is the use of the local targets' slots at which new flows start
-	// to go to other data centres, spillFull that at which all flows choose freely:
+	// spillStart is the use of the slots of the targets at one distance at which new
+	// flows start to go further, spillFull that at which all flows choose freely:
 	// from there on requests wait for a slot longer than the way takes.
 	spillStart = 1.0
 	spillFull  = 2.0
@@ -29,42 +29,58 @@
 )
 
 // service groups the targets that take new flows of a service. Flows stay in
-// the host's data centre while its targets have slots to spare: what a partition
-// cuts off is then not in use, and no byte travels without need.
+// the host's data centre while its targets have slots to spare, and then in its
+// region: what a partition cuts off is then not in use, and no byte travels without
+// need.
 type service struct {
-	local, remote, lapsed []*targetRecord
+	groups [distanceCount]group
+	lapsed []*targetRecord
 	// response is the mean response time of the targets that have one.
 	response time.Duration
-	// use is the mean number of requests in progress at the local targets, by the
-	// host's own count and the number of hosts, for each of their slots.
-	use      float64
 	measured time.Duration
-	// hosts is the number of hosts that share the local targets.
+}
+
+// group is the targets of a service at one distance.
+type group struct {
+	targets []*targetRecord
+	// use is the mean number of requests in progress at the targets, by the host's
+	// own count and the number of hosts, for each of their slots.
+	use float64
+	// hosts is the number of hosts that share the targets.
 	hosts int
 }
 
-func (s *service) clear() { s.local, s.remote, s.lapsed = s.local[:0], s.remote[:0], s.lapsed[:0] }
+func (s *service) clear() {
+	for i := range s.groups {
+		s.groups[i].targets = s.groups[i].targets[:0]
+	}
+	s.lapsed = s.lapsed[:0]
+}
 
-func (s *service) empty() bool { return len(s.local)+len(s.remote)+len(s.lapsed) == 0 }
+func (s *service) empty() bool {
+	count := len(s.lapsed)
+	for i := range s.groups {
+		count += len(s.groups[i].targets)
+	}
+	return count == 0
+}
 
 func (s *service) add(t *targetRecord) {
-	switch {
-	case t.State == Lapsed:
+	if t.State == Lapsed {
 		s.lapsed = append(s.lapsed, t)
-	case t.local:
-		s.local = append(s.local, t)
-	default:
-		s.remote = append(s.remote, t)
+		return
 	}
+	g := &s.groups[t.distance]
+	g.targets = append(g.targets, t)
 }
 
 // measure renews the mean response time.
-func (s *service) measure(hosts int) {
-	s.hosts = hosts
+func (s *service) measure(hosts [distanceCount]int) {
 	var sum time.Duration
 	count := 0
-	for _, group := range [][]*targetRecord{s.local, s.remote} {
-		for _, t := range group {
+	for i := range s.groups {
+		s.groups[i].hosts = hosts[i]
+		for _, t := range s.groups[i].targets {
 			if t.response > 0 {
 				sum += t.response
 				count++
@@ -84,30 +100,43 @@
 // place returns a target for a new flow that is neither of the excluded ones,
 // or nil if there is none. Silent targets come last.
 func (s *service) place(now time.Duration, random *rand.Rand, excluded, alsoExcluded *targetRecord) *targetRecord {
-	local := s.least(now, random, s.local, excluded, alsoExcluded)
-	remote := s.least(now, random, s.remote, excluded, alsoExcluded)
-	// The hosts of a data centre get like shares of its flows.
-	s.use += share(now-s.measured, useSpan) * (local.use*float64(s.hosts) - s.use)
+	var best [distanceCount]candidate
+	for i := range s.groups {
+		g := &s.groups[i]
+		best[i] = s.least(now, random, g.targets, excluded, alsoExcluded)
+		// Hosts at the same distance get like shares of the flows.
+		g.use += share(now-s.measured, useSpan) * (best[i].use*float64(g.hosts) - g.use)
+	}
 	s.measured = now
-	switch {
-	case local.target == nil && remote.target == nil:
+	chosen := best[Far]
+	for i := int(Near); i >= int(Local); i-- {
+		chosen = s.groups[i].nearer(best[i], chosen, random)
+	}
+	if chosen.target == nil {
 		return s.least(now, random, s.lapsed, excluded, alsoExcluded).target
-	case local.target == nil:
-		return remote.target
-	case remote.target == nil:
-		return local.target
-	case local.silent != remote.silent:
-		if local.silent {
-			return remote.target
+	}
+	return chosen.target
+}
+
+// nearer chooses between the best target of a group and that of the groups behind it.
+func (g *group) nearer(own, further candidate, random *rand.Rand) candidate {
+	switch {
+	case own.target == nil:
+		return further
+	case further.target == nil:
+		return own
+	case own.silent != further.silent:
+		if own.silent {
+			return further
 		}
-		return local.target
+		return own
 	}
 	// The own count alone is a lower bound that shows a crowd at once.
-	spill := (max(s.use, local.use) - spillStart) / (spillFull - spillStart)
-	if random.Float64() < spill && remote.load < local.load {
-		return remote.target
+	spill := (max(g.use, own.use) - spillStart) / (spillFull - spillStart)
+	if random.Float64() < spill && further.load < own.load {
+		return further
 	}
-	return local.target
+	return own
 }
 
 // candidate is the best target of a group.
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -23,7 +23,7 @@
 // targetRecord is what the plane knows of a target. It outlives views.
 type targetRecord struct {
 	Target
-	local bool
+	distance Distance
 	// dataCentre is that of the target; nil for the host's own one, which is never
 	// given up as a whole.
 	dataCentre *dataCentreRecord
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -11,9 +11,12 @@
 
 // Node holds the settings of a host that forwards packets.
 type Node struct {
-	HostID     string     `json:"host_id"`
-	DataCentre string     `json:"data_centre"`
-	Listen     NodeListen `json:"listen"`
+	HostID     string `json:"host_id"`
+	DataCentre string `json:"data_centre"`
+	// DataCentres are those of the fleet with their regions; empty if there is one
+	// region.
+	DataCentres []DataCentre `json:"data_centres"`
+	Listen      NodeListen   `json:"listen"`
 	// Seeds are addresses of hosts that a starting host contacts first. Only their
 	// IP address counts: the port is that of Listen.Gossip.
 	Seeds []string `json:"seeds"`
@@ -32,6 +35,12 @@
 	LogLevel string `json:"log_level"`
 }
 
+// DataCentre is a data centre of the fleet.
+type DataCentre struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
 // NodeListen holds the addresses that a packet host opens.
 type NodeListen struct {
 	// Packets is for UDP. Clients receive resets at the same port.
@@ -84,6 +93,14 @@
 	if !namePattern.MatchString(n.DataCentre) {
 		p.add("data_centre", "%s", nameRule)
 	}
+	for i, d := range n.DataCentres {
+		if !namePattern.MatchString(d.Name) {
+			p.add(index("data_centres", i)+".name", "%s", nameRule)
+		}
+		if !namePattern.MatchString(d.Region) {
+			p.add(index("data_centres", i)+".region", "%s", nameRule)
+		}
+	}
 	checkAddress(&p, "listen.packets", n.Listen.Packets)
 	checkAddress(&p, "listen.ready", n.Listen.Ready)
 	if gossip := checkAddress(&p, "listen.gossip", n.Listen.Gossip); gossip.IsValid() && gossip.Addr().IsUnspecified() {
