--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -83,6 +83,8 @@
 	rank    uint64
 	// lacking is set for a collection that the host did not have by its last message.
 	lacking [catalog.KindCount]bool
+	// reported is set if the host was alive at the last call of Changed.
+	reported bool
 }
 
 // Membership is what a host knows of the others.
@@ -159,6 +161,22 @@
 	return list
 }
 
+// Changed returns the hosts that came and those that went since the last call.
+func (m *Membership) Changed(now time.Duration) (joined, lost []Host) {
+	for _, o := range m.list {
+		switch alive := o.alive(now); {
+		case alive && !o.reported:
+			joined = append(joined, o.Host)
+		case !alive && o.reported:
+			lost = append(lost, o.Host)
+		default:
+			continue
+		}
+		o.reported = !o.reported
+	}
+	return joined, lost
+}
+
 // Isolated reports whether the host knows others, of which none is alive for it:
 // more likely it is cut off than all of them are down.
 func (m *Membership) Isolated(now time.Duration) bool {
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -264,6 +264,27 @@
 	require.Zero(t, m.Rank(catalog.Targets, 2))
 }
 
+// Guards against a host that comes or goes without a line in the log, and against
+// lines that repeat.
+func TestChangedHostsAreReportedOnce(t *testing.T) {
+	m := gossip.NewMembership(gossip.Host{ID: "self", DataCentre: "a", Address: "10.0.0.9"}, nil, rand.New(rand.NewPCG(1, 2)))
+	one := gossip.Host{ID: "h1", DataCentre: "a", Address: "10.0.0.1"}
+	two := gossip.Host{ID: "h2", DataCentre: "b", Address: "10.0.0.2"}
+	report := func(at time.Duration) [2][]gossip.Host {
+		joined, lost := m.Changed(at)
+		return [2][]gossip.Host{joined, lost}
+	}
+	m.Hear(&gossip.Message{From: one, Contacts: []gossip.Contact{{Host: two}}}, time.Second)
+	require.Equal(t, [2][]gossip.Host{{one, two}, nil}, report(time.Second))
+	require.Equal(t, [2][]gossip.Host{}, report(2*time.Second))
+	m.Hear(&gossip.Message{From: two}, 3*time.Second)
+	require.Equal(t, [2][]gossip.Host{nil, {one}}, report(4*time.Second))
+	m.Hear(&gossip.Message{From: two, Leaving: true}, 4*time.Second)
+	require.Equal(t, [2][]gossip.Host{nil, {two}}, report(4*time.Second))
+	m.Hear(&gossip.Message{From: one}, 5*time.Second)
+	require.Equal(t, [2][]gossip.Host{{one}, nil}, report(5*time.Second))
+}
+
 // headerBytes are those of IP and UDP in front of a message.
 const headerBytes = 28
 
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -53,6 +53,7 @@
 	ObjectMalformed       = "object_malformed"
 	ConfigurationAdopted  = "configuration_adopted"
 	TargetsChanged        = "targets_changed"
+	PeersChanged          = "peers_changed"
 	ChangesNotFetched     = "changes_not_fetched"
 	FetchRedirected       = "fetch_redirected"
 	TargetSilent          = "target_silent"
@@ -85,7 +86,7 @@
 		OwnershipTaken, OwnershipReleased, HandoverSent, HandoverReceived, HandoverFailed,
 		TargetEjected, TargetReturned,
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
-		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, ChangesNotFetched, FetchRedirected,
+		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
 		TargetSilent, TargetAnswers, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed,
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -19,6 +19,11 @@
 const (
 	// tick is the time between two looks at what is due.
 	tick = 100 * time.Millisecond
+	// reportInterval is the time between two lines about hosts that came and went:
+	// one line for the loss of a rack, and few for a start of the fleet.
+	reportInterval = time.Second
+	// namedHosts is the number of hosts that such a line names each way.
+	namedHosts = 20
 	// taskLimit is the number of events that wait for the control goroutine.
 	// Gossip beyond it is dropped, since it is repeated.
 	taskLimit = 256
@@ -48,7 +53,9 @@
 	server  *gossip.Server
 	leaving bool
 	context context.Context
-	spoken  time.Duration
+	// spoken is the time of the last message, reported that of the last look at hosts
+	// that came and went.
+	spoken, reported time.Duration
 	// shown is what the published view was made of.
 	shown viewBasis
 	// reachable is the last outcome of a call to the store.
@@ -118,6 +125,9 @@
 			c.ask()
 			c.fetchDue()
 			c.show()
+			if c.node.now()-c.reported >= reportInterval {
+				c.reportHosts()
+			}
 			if c.node.now()-c.spoken >= gossip.Interval {
 				c.speak()
 			}
@@ -125,6 +135,27 @@
 	}
 }
 
+// reportHosts logs the hosts that came and went, some of them by name.
+func (c *control) reportHosts() {
+	now := c.node.now()
+	c.reported = now
+	joined, lost := c.members.Changed(now)
+	if len(joined)+len(lost) == 0 {
+		return
+	}
+	c.node.log.Info(logs.PeersChanged, zap.Int("alive", c.members.Alive(now)),
+		zap.Int("joined", len(joined)), zap.Strings("joined_hosts", hostNames(joined)),
+		zap.Int("lost", len(lost)), zap.Strings("lost_hosts", hostNames(lost)))
+}
+
+func hostNames(list []gossip.Host) []string {
+	names := make([]string, 0, min(len(list), namedHosts))
+	for i := range cap(names) {
+		names = append(names, list[i].ID)
+	}
+	return names
+}
+
 // do passes a task to the control goroutine.
 func (c *control) do(task func()) {
 	select {
@@ -460,11 +491,7 @@
 
 func (c *control) hear(m *gossip.Message) {
 	now := c.node.now()
-	before := c.members.Alive(now)
 	c.members.Hear(m, now)
-	if after := c.members.Alive(now); after != before {
-		c.node.log.Info(logs.PeerJoined, zap.String("from", m.From.ID), zap.Int("alive", after), zap.Bool("leaving", m.Leaving))
-	}
 	behind := false
 	for i := range m.States {
 		kind, state := catalog.Kind(i), m.States[i]
