Let idempotent flows leave targets that seem dead

Ruled out: a reset on first evidence: a host that was frozen finds 17 live targets without an answer when it wakes.

Change: a target seems dead to a host when three flows repeated packets, none of its flows proceeded for 0.6 s, a test packet has waited 150 ms, its data centre is not cut off as a whole, and three flows that opened later were answered by others. Flows of idempotent routes that send data to it are reset; one packet in 400 ms is forwarded and shows a target that is back. Other requests stay: they may have run.

--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -20,6 +20,8 @@
 	Name     string         `json:"name"`
 	Address  netip.AddrPort `json:"address"`
 	Services []Share        `json:"services"`
+	// Idempotent is set if clients may repeat the requests of the route.
+	Idempotent bool `json:"idempotent,omitempty"`
 }
 
 // Share is the weight of a service in a route.
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -58,6 +58,7 @@
 	FetchRedirected       = "fetch_redirected"
 	TargetSilent          = "target_silent"
 	TargetAnswers         = "target_answers"
+	TargetDead            = "target_dead"
 	DataCentreSilent      = "data_centre_silent"
 	DataCentreAnswers     = "data_centre_answers"
 	TargetListed          = "target_listed"
@@ -87,7 +88,7 @@
 		TargetEjected, TargetReturned,
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
 		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
-		TargetSilent, TargetAnswers, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
+		TargetSilent, TargetAnswers, TargetDead, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed,
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -375,7 +375,7 @@
 func routes(c *catalog.Configuration) []packet.Route {
 	list := make([]packet.Route, 0, len(c.Routes))
 	for _, r := range c.Routes {
-		route := packet.Route{Address: r.Address, Idle: time.Duration(c.FlowIdle) * time.Millisecond}
+		route := packet.Route{Address: r.Address, Idle: time.Duration(c.FlowIdle) * time.Millisecond, Idempotent: r.Idempotent}
 		for _, s := range r.Services {
 			route.Services = append(route.Services, packet.ServiceShare{Service: s.Service, Weight: s.Weight})
 		}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -100,6 +100,8 @@
 func targetStatus(t *packet.TargetStatus) TargetStatus {
 	belief := "answers"
 	switch {
+	case t.Dead:
+		belief = "dead"
 	case t.Unreachable:
 		belief = "data_centre_silent"
 	case t.Silent && t.Unanswered:
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -101,6 +101,7 @@
 	packet.ReasonNoRoute:         logs.FlowRefused,
 	packet.ReasonNoTarget:        logs.FlowRefused,
 	packet.ReasonTargetGone:      logs.FlowRefused,
+	packet.ReasonTargetDead:      logs.FlowRefused,
 	packet.ReasonNotOpen:         logs.PacketDropped,
 	packet.ReasonTargetUnknown:   logs.PacketDropped,
 	packet.ReasonNoConfiguration: logs.PacketDropped,
@@ -129,6 +130,11 @@
 		n.log.Info(logs.DataCentreAnswers, zap.String("data_centre", b.DataCentre), zap.Bool("retried", b.Retried))
 		return
 	}
+	if b.Dead {
+		n.log.Warn(logs.TargetDead, zap.String("target", b.Target), zap.String("data_centre", b.DataCentre), zap.Int("repeats", b.Repeats),
+			zap.Int("flows", b.Flows), zap.Bool("opening_unanswered", b.Unanswered), zap.Duration("silence", b.Silence))
+		return
+	}
 	if !b.Silent {
 		n.log.Info(logs.TargetAnswers, zap.String("target", b.Target), zap.String("data_centre", b.DataCentre), zap.Bool("retried", b.Retried))
 		return
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -68,6 +68,7 @@
 	ReasonNotOpen
 	ReasonTargetUnknown
 	ReasonTargetGone
+	ReasonTargetDead
 	ReasonNoConfiguration
 	ReasonMalformed
 	reasonCount
@@ -75,7 +76,7 @@
 
 var reasonNames = [reasonCount]string{
 	"placed", "placed_again", "copy", "open", "adopted", "route_unknown", "no_route", "no_target", "not_open",
-	"target_unknown", "target_gone", "no_configuration", "malformed",
+	"target_unknown", "target_gone", "target_dead", "no_configuration", "malformed",
 }
 
 // String returns the name of the reason in logs and metrics.
@@ -108,6 +109,8 @@
 	Services []ServiceShare
 	// Idle is the time after which a silent flow may be discarded.
 	Idle time.Duration
+	// Idempotent is set if clients may repeat the requests of the route's flows.
+	Idempotent bool
 }
 
 // ServiceShare is the weight of a service among those of a route.
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -48,6 +49,8 @@
 	next, acknowledged uint32
 	requested, seen    time.Duration
 	idle               time.Duration
+	// repeated is the time of the last packet that the client repeated.
+	repeated time.Duration
 }
 
 // Plane decides on packets. It is not safe for concurrent use.
@@ -62,6 +65,9 @@
 	dataCentres map[string]*dataCentreRecord
 	sweep       []Flow
 	beliefs     []Belief
+	// proofs are the times at which the flows opened that were answered last, in
+	// ascending order.
+	proofs [deadProofs]time.Duration
 }
 
 // Belief is a change of what the plane thinks of a target or of a data centre.
@@ -80,6 +86,10 @@
 	// Retried is set if the target gets flows again only because it was silent for
 	// long.
 	Retried bool
+	// Dead is set if flows of requests that may be repeated leave the target too.
+	Dead bool
+	// Flows is the number of flows whose clients repeated packets.
+	Flows int
 }
 
 // Beliefs returns the changes since the last call.
@@ -226,7 +236,7 @@
 		}
 		// The client waited in vain for an answer of the target.
 		f.copies = k.Acknowledgement
-		f.target.repeat(now)
+		f.target.repeat(now, f)
 		f.target.unanswered = true
 		p.reconsider(now, f.target)
 		next := p.place(now, route, f.target, f.previous)
@@ -275,6 +285,7 @@
 		}
 		f.state, f.acknowledged = flowOpen, k.Acknowledgement
 		f.target.progress()
+		p.prove(f.requested)
 	}
 	defer p.reconsider(now, f.target)
 	p.observe(now, f, k)
@@ -285,12 +296,50 @@
 		}
 		return Decision{Action: Refuse, Reason: ReasonTargetGone, Name: f.target.Name}
 	}
-	if p.view.routes[k.Flow.Service] == nil {
+	route := p.view.routes[k.Flow.Service]
+	if route == nil {
 		return Decision{Action: Refuse, Reason: ReasonNoRoute}
 	}
+	if p.leaves(now, f.target, route, k) {
+		p.forget(k.Flow, f)
+		return Decision{Action: Refuse, Reason: ReasonTargetDead, Name: f.target.Name}
+	}
 	return forward(f.target, ReasonOpen)
 }
 
+// prove notes that a flow which opened at a time was answered.
+func (p *Plane) prove(opened time.Duration) {
+	if opened > p.proofs[0] {
+		p.proofs[0] = opened
+		slices.Sort(p.proofs[:])
+	}
+}
+
+// leaves reports whether the client of a flow is told to open a new one, because the
+// target seems dead: its request may be repeated, and would wait for its deadline.
+// A packet without data asks for nothing.
+func (p *Plane) leaves(now time.Duration, t *targetRecord, route *Route, k *Packet) bool {
+	if k.Length == 0 || k.Reset || t.silentSince == 0 && !t.dead {
+		return false
+	}
+	waited := now - t.probed
+	if waited >= probeInterval {
+		t.probed = now
+		return false
+	}
+	if !t.dead {
+		if waited < probeWait || !t.dying(now, p.proofs[0]) {
+			return false
+		}
+		t.dead = true
+		p.beliefs = append(p.beliefs, Belief{
+			Target: t.Name, DataCentre: t.DataCentre, Silent: true, Dead: true, Repeats: t.repeats, Flows: t.repeaters,
+			Unanswered: t.unanswered, Silence: now - t.silentSince,
+		})
+	}
+	return route.Idempotent
+}
+
 // reused reports whether a packet belongs to a later flow of the same addresses,
 // which another host opened. A tag alone does not tell: if two targets answered
 // the opening, the client may return the tag of the other one.
@@ -322,6 +371,8 @@
 		return forward(t, ReasonRouteUnknown)
 	case k.Reset:
 		return forward(t, ReasonAdopted)
+	case p.leaves(now, t, route, k):
+		return Decision{Action: Refuse, Reason: ReasonTargetDead, Name: t.Name}
 	}
 	f := &flowRecord{
 		target: t, state: flowOpen, next: k.Sequence, acknowledged: k.Acknowledgement, seen: now, idle: route.Idle,
@@ -354,7 +405,7 @@
 				f.target.active++
 			}
 		} else {
-			f.target.repeat(now)
+			f.target.repeat(now, f)
 		}
 	}
 	if (k.End || k.Reset) && f.state != flowClosed {
--- a/internal/packet/status.go
+++ b/internal/packet/status.go
@@ -21,8 +21,8 @@
 	Silent, Unanswered, Unreachable bool
 	Repeats                         int
 	Silence                         time.Duration
-	// Cold is set in the target's warm-up.
-	Cold bool
+	// Cold is set in the target's warm-up, Dead if flows that may leave it do.
+	Cold, Dead bool
 }
 
 // Status returns what the plane knows of each target, by service and name.
@@ -31,7 +31,7 @@
 	for _, t := range p.targets {
 		s := TargetStatus{
 			Name: t.Name, Service: t.Service, DataCentre: t.DataCentre, State: t.State, Open: t.open, Active: t.active,
-			Response: t.response, Repeats: t.repeats, Unanswered: t.unanswered, Cold: now < t.ColdUntil,
+			Response: t.response, Repeats: t.repeats, Unanswered: t.unanswered, Cold: now < t.ColdUntil, Dead: t.dead,
 			Unreachable: t.dataCentre != nil && t.dataCentre.unreachable(now), Silent: t.avoided(now),
 		}
 		if t.silentSince != 0 {
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -13,6 +13,20 @@
 	// responseWeight is the weight of a new response time in the mean, the usual
 	// value of TCP's estimator (RFC 6298).
 	responseWeight = 1.0 / 8
+	// deadLimit, deadFlows and deadProofs say when a target counts as dead for its
+	// open flows: no progress for that long, after so many flows repeated packets,
+	// while that many flows which opened later were answered by others. The latter
+	// shows that the host itself is neither behind nor cut off. A client's second
+	// repeat comes after 600 ms.
+	deadLimit  = 600 * time.Millisecond
+	deadFlows  = 3
+	deadProofs = 3
+	// probeInterval is the time after which a packet to a target without signs of
+	// life is forwarded whatever is believed, so that a target that is back shows:
+	// a tenth of the 4 s in which the platform forgives a wrong belief after a cut.
+	// probeWait is the time for its answer, several round trips between data centres.
+	probeInterval = 400 * time.Millisecond
+	probeWait     = 150 * time.Millisecond
 	// coldFactor is the load of a target in its warm-up against a warm one.
 	coldFactor = 2.0
 	// activeWeight is the weight of a request in progress against that of an open
@@ -33,6 +47,12 @@
 	// if there was none.
 	silentSince time.Duration
 	repeats     int
+	// repeaters is the number of flows that repeated packets since then.
+	repeaters int
+	// dead is set from the time at which the target counted as dead until its next
+	// sign of life; probed is the time of the last packet that tests it.
+	dead   bool
+	probed time.Duration
 	// unanswered is set if a client repeated an opening packet since the last
 	// progress. A target answers those at once, however busy it is.
 	unanswered bool
@@ -52,26 +72,40 @@
 // progress notes a sign of life.
 func (t *targetRecord) progress() {
 	t.forget()
-	t.retried = false
+	t.retried, t.dead = false, false
 	if t.dataCentre != nil {
 		t.dataCentre.progress()
 	}
 }
 
 // forget drops what speaks for silence.
-func (t *targetRecord) forget() { t.silentSince, t.repeats, t.unanswered = 0, 0, false }
+func (t *targetRecord) forget() {
+	t.silentSince, t.repeats, t.repeaters, t.unanswered = 0, 0, 0, false
+}
 
 // avoided reports whether the target or its data centre seems dead.
 func (t *targetRecord) avoided(now time.Duration) bool {
 	return t.silent(now) || t.dataCentre != nil && t.dataCentre.unreachable(now)
 }
 
-// repeat notes that a client repeated a packet that the target did not answer.
-func (t *targetRecord) repeat(now time.Duration) {
+// repeat notes that the client of a flow repeated a packet that the target did not
+// answer.
+func (t *targetRecord) repeat(now time.Duration, f *flowRecord) {
 	t.repeats++
 	if t.silentSince == 0 {
 		t.silentSince = now
 	}
+	if f.repeated < t.silentSince || f.repeated == 0 {
+		t.repeaters++
+	}
+	f.repeated = now
+}
+
+// dying reports whether a target has to count as dead. Proofs is the time at which
+// the earliest of the last deadProofs answered flows opened.
+func (t *targetRecord) dying(now, proofs time.Duration) bool {
+	return t.silentSince != 0 && now-t.silentSince >= deadLimit && t.repeaters >= deadFlows && proofs > t.silentSince &&
+		(t.dataCentre == nil || !t.dataCentre.unreachable(now))
 }
 
 // recentFlows returns the number of recent new flows.
