Name the period of feeds in a test

Cause: the linter found a parameter that always has one value. Ruled out: other periods, which no case needs. Change: a constant. Measured: nothing changes.

--- a/internal/packet/dead_test.go
+++ b/internal/packet/dead_test.go
@@ -45,7 +45,11 @@
 	refusals map[packet.TargetKey]int
 }
 
-const feedTargets = 6
+const (
+	feedTargets = 6
+	// feedPeriod is the time between two requests of a feed.
+	feedPeriod = 500 * time.Millisecond
+)
 
 func newFeeds(count int, idempotent bool) *feeds {
 	f := &feeds{
@@ -93,8 +97,8 @@
 	play()
 }
 
-// run plays a time in which each feed asks once a period.
-func (f *feeds) run(d, period time.Duration) {
+// run plays a time.
+func (f *feeds) run(d time.Duration) {
 	for end := f.now + d; f.now < end; {
 		f.now += 10 * time.Millisecond
 		if f.now >= f.paused {
@@ -107,9 +111,9 @@
 			if x.refused > 0 {
 				continue
 			}
-			offset := period * time.Duration(i) / time.Duration(len(f.list))
+			offset := feedPeriod * time.Duration(i) / time.Duration(len(f.list))
 			switch {
-			case !x.waiting && (f.now+offset)%period < 10*time.Millisecond:
+			case !x.waiting && (f.now+offset)%feedPeriod < 10*time.Millisecond:
 				x.waiting, x.asked, x.repeats = true, f.now, 0
 				f.send(x, packet.Packet{Flow: x.flow, Tag: x.tag, Sequence: x.sequence, Acknowledgement: x.acknowledged, Length: 50})
 				x.sequence += 50
@@ -146,10 +150,10 @@
 // repeat of a request and the next probe.
 func TestFeedsLeaveADeadTarget(t *testing.T) {
 	f := newFeeds(60, true)
-	f.run(2*time.Second, 500*time.Millisecond)
+	f.run(2*time.Second)
 	died := f.now
 	f.dead = func(key packet.TargetKey) bool { return key == 1 }
-	f.run(2*time.Second, 500*time.Millisecond)
+	f.run(2*time.Second)
 	affected := f.at(1)
 	require.Greater(t, len(affected), 5)
 	left, longest := 0, time.Duration(0)
@@ -171,41 +175,41 @@
 func TestFeedsStayAtLiveTargets(t *testing.T) {
 	t.Run("host_paused", func(t *testing.T) {
 		f := newFeeds(60, true)
-		f.run(2*time.Second, 500*time.Millisecond)
+		f.run(2*time.Second)
 		f.paused = f.now + 4*time.Second
-		f.run(8*time.Second, 500*time.Millisecond)
+		f.run(8*time.Second)
 		require.Empty(t, f.refusals)
 	})
 	t.Run("host_cut_off", func(t *testing.T) {
 		f := newFeeds(60, true)
-		f.run(2*time.Second, 500*time.Millisecond)
+		f.run(2*time.Second)
 		f.dead = func(packet.TargetKey) bool { return true }
-		f.run(3*time.Second, 500*time.Millisecond)
+		f.run(3*time.Second)
 		require.Empty(t, f.refusals)
 	})
 	t.Run("cut_heals", func(t *testing.T) {
 		f := newFeeds(120, true)
-		f.run(2*time.Second, 500*time.Millisecond)
+		f.run(2*time.Second)
 		f.dead = func(key packet.TargetKey) bool { return key == 1 }
-		f.run(time.Second, 500*time.Millisecond)
+		f.run(time.Second)
 		f.dead = func(packet.TargetKey) bool { return false }
-		f.run(500*time.Millisecond, 500*time.Millisecond)
+		f.run(500*time.Millisecond)
 		healed := f.refusals[1]
-		f.run(4*time.Second, 500*time.Millisecond)
+		f.run(4*time.Second)
 		require.Equal(t, healed, f.refusals[1], "the next probe shows that the target is back")
 	})
 	t.Run("few_flows", func(t *testing.T) {
 		f := newFeeds(2*feedTargets, true)
-		f.run(2*time.Second, 500*time.Millisecond)
+		f.run(2*time.Second)
 		f.dead = func(key packet.TargetKey) bool { return key == 1 }
-		f.run(3*time.Second, 500*time.Millisecond)
+		f.run(3*time.Second)
 		require.Empty(t, f.refusals, "two flows are no proof")
 	})
 	t.Run("not_idempotent", func(t *testing.T) {
 		f := newFeeds(60, false)
-		f.run(2*time.Second, 500*time.Millisecond)
+		f.run(2*time.Second)
 		f.dead = func(key packet.TargetKey) bool { return key == 1 }
-		f.run(3*time.Second, 500*time.Millisecond)
+		f.run(3*time.Second)
 		require.Empty(t, f.refusals)
 	})
 }
