--- a/internal/packet/dead_test.go
+++ b/internal/packet/dead_test.go
@@ -150,10 +150,10 @@
 // repeat of a request and the next probe.
 func TestFeedsLeaveADeadTarget(t *testing.T) {
 	f := newFeeds(60, true)
-	f.run(2*time.Second)
+	f.run(2 * time.Second)
 	died := f.now
 	f.dead = func(key packet.TargetKey) bool { return key == 1 }
-	f.run(2*time.Second)
+	f.run(2 * time.Second)
 	affected := f.at(1)
 	require.Greater(t, len(affected), 5)
 	left, longest := 0, time.Duration(0)
@@ -175,41 +175,41 @@
 func TestFeedsStayAtLiveTargets(t *testing.T) {
 	t.Run("host_paused", func(t *testing.T) {
 		f := newFeeds(60, true)
-		f.run(2*time.Second)
+		f.run(2 * time.Second)
 		f.paused = f.now + 4*time.Second
-		f.run(8*time.Second)
+		f.run(8 * time.Second)
 		require.Empty(t, f.refusals)
 	})
 	t.Run("host_cut_off", func(t *testing.T) {
 		f := newFeeds(60, true)
-		f.run(2*time.Second)
+		f.run(2 * time.Second)
 		f.dead = func(packet.TargetKey) bool { return true }
-		f.run(3*time.Second)
+		f.run(3 * time.Second)
 		require.Empty(t, f.refusals)
 	})
 	t.Run("cut_heals", func(t *testing.T) {
 		f := newFeeds(120, true)
-		f.run(2*time.Second)
+		f.run(2 * time.Second)
 		f.dead = func(key packet.TargetKey) bool { return key == 1 }
 		f.run(time.Second)
 		f.dead = func(packet.TargetKey) bool { return false }
-		f.run(500*time.Millisecond)
+		f.run(500 * time.Millisecond)
 		healed := f.refusals[1]
-		f.run(4*time.Second)
+		f.run(4 * time.Second)
 		require.Equal(t, healed, f.refusals[1], "the next probe shows that the target is back")
 	})
 	t.Run("few_flows", func(t *testing.T) {
 		f := newFeeds(2*feedTargets, true)
-		f.run(2*time.Second)
+		f.run(2 * time.Second)
 		f.dead = func(key packet.TargetKey) bool { return key == 1 }
-		f.run(3*time.Second)
+		f.run(3 * time.Second)
 		require.Empty(t, f.refusals, "two flows are no proof")
 	})
 	t.Run("not_idempotent", func(t *testing.T) {
 		f := newFeeds(60, false)
-		f.run(2*time.Second)
+		f.run(2 * time.Second)
 		f.dead = func(key packet.TargetKey) bool { return key == 1 }
-		f.run(3*time.Second)
+		f.run(3 * time.Second)
 		require.Empty(t, f.refusals)
 	})
 }
