Give a fetch of changes a second of silence again; split control and plane

Cause: read as a newcomer, with the limits side by side: a fetch of changes, which never waits in a queue, had got the 2.5 s of a whole collection, so that a frozen host delays news by as much; it was 1 s. A host whose answer failed was named to others as a source. One verdict was never given.

--- a/internal/gossip/admission.go
+++ b/internal/gossip/admission.go
@@ -24,10 +24,8 @@
 
 // The verdicts.
 const (
-	// Wait keeps the asker in the queue.
-	Wait Verdict = iota
-	// Send sends it the collection.
-	Send
+	// Send sends the asker the collection.
+	Send Verdict = iota
 	// Redirect sends it to another host, or away if none is known.
 	Redirect
 )
--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -19,9 +19,11 @@
 	// connectLimit is the time for a connection: several round trips between data
 	// centres on a busy host.
 	connectLimit = 500 * time.Millisecond
-	// silenceLimit is the time without a byte of an answer after which a source
-	// counts as dead. An asker may wait in its queue.
-	silenceLimit = QueueLimit + 500*time.Millisecond
+	// silenceLimit is the time without a byte of an answer after which a host that was
+	// asked for changes counts as dead. One that is asked for a whole collection may
+	// keep the asker waiting.
+	silenceLimit      = time.Second
+	queueSilenceLimit = QueueLimit + 500*time.Millisecond
 	// transferLimit bounds a transfer: 11,000 targets, 330 KB, take 0.6 s when two
 	// share a link of 10 Mbit/s.
 	transferLimit = 2 * time.Second
@@ -115,8 +117,10 @@
 type Session struct {
 	server *Server
 	caller string
-	// admitted is the admission of which the session holds a slot.
+	// admitted is the admission of which the session holds a slot, answered is set
+	// once it got the collection.
 	admitted *Admission
+	answered bool
 }
 
 // Changes answers a question.
@@ -136,8 +140,11 @@
 		return err
 	}
 	r.Age = age
-	r.Batch, err = s.server.encode(catalog.Kind(q.Kind), batch)
-	return err
+	if r.Batch, err = s.server.encode(catalog.Kind(q.Kind), batch); err != nil {
+		return err
+	}
+	s.answered = true
+	return nil
 }
 
 // enter waits for the verdict of the admission.
@@ -169,12 +176,13 @@
 	}
 }
 
+// close frees the slot at the end of the connection, when the answer has been sent.
 func (s *Session) close() {
 	v := s.server
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	if s.admitted != nil {
-		s.admitted.Leave(s.caller, true, v.now())
+		s.admitted.Leave(s.caller, s.answered, v.now())
 		s.admitted = nil
 	}
 }
@@ -213,11 +221,14 @@
 var ErrBusy = errors.New("the host is busy")
 
 // patientConnection renews its deadline with each byte that arrives.
-type patientConnection struct{ net.Conn }
+type patientConnection struct {
+	net.Conn
+	silence time.Duration
+}
 
 // Read reads within the limit on silence.
 func (c patientConnection) Read(b []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(b)
@@ -232,7 +243,11 @@
 	if err != nil {
 		return Fetched{}, errors.Wrap(err, "connecting to a host")
 	}
-	client := rpc.NewClient(patientConnection{connection})
+	silence := silenceLimit
+	if since == 0 {
+		silence = queueSilenceLimit
+	}
+	client := rpc.NewClient(patientConnection{connection, silence})
 	var reply Reply
 	err = client.Call(serviceName+".Changes", Question{Kind: uint8(kind), Since: since}, &reply)
 	if closing := client.Close(); err == nil && closing != nil && !errors.Is(closing, rpc.ErrShutdown) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -9,7 +9,6 @@
 	"oriolevalve/internal/catalog"
 	"oriolevalve/internal/gossip"
 	"oriolevalve/internal/logs"
-	"oriolevalve/internal/packet"
 	"oriolevalve/internal/settings"
 
 	"github.com/cockroachdb/errors"
@@ -62,16 +61,6 @@
 	reachable, called bool
 }
 
-// viewBasis tells whether a view has to be made again.
-type viewBasis struct {
-	states     [catalog.KindCount]uint64
-	departures catalog.Departures
-	hosts      hostCounts
-}
-
-// hostCounts are the numbers of live hosts that share targets, with this one.
-type hostCounts struct{ dataCentre, region, fleet int }
-
 func newControl(n *Node, socket *net.UDPConn) *control {
 	local := socket.LocalAddr().(*net.UDPAddr).AddrPort()
 	c := &control{
@@ -135,27 +124,6 @@
 	}
 }
 
-// reportHosts logs the hosts that came and went, some of them by name.
-func (c *control) reportHosts() {
-	now := c.node.now()
-	c.reported = now
-	joined, lost := c.members.Changed(now)
-	if len(joined)+len(lost) == 0 {
-		return
-	}
-	c.node.log.Info(logs.PeersChanged, zap.Int("alive", c.members.Alive(now)),
-		zap.Int("joined", len(joined)), zap.Strings("joined_hosts", hostNames(joined)),
-		zap.Int("lost", len(lost)), zap.Strings("lost_hosts", hostNames(lost)))
-}
-
-func hostNames(list []gossip.Host) []string {
-	names := make([]string, 0, min(len(list), namedHosts))
-	for i := range cap(names) {
-		names = append(names, list[i].ID)
-	}
-	return names
-}
-
 // do passes a task to the control goroutine.
 func (c *control) do(task func()) {
 	select {
@@ -293,64 +261,6 @@
 	}
 }
 
-// show publishes a view if it would differ from the last one.
-func (c *control) show() {
-	now := c.node.now()
-	configuration := c.catalog.Configuration()
-	_, known := c.catalog.Age(catalog.Targets, now)
-	c.node.metrics.aged(c.catalog, now)
-	if configuration == nil || !known {
-		return
-	}
-	defer c.noteReady(now)
-	basis := viewBasis{departures: c.catalog.Departures(now), hosts: c.hosts(now)}
-	for kind := range basis.states {
-		basis.states[kind] = c.catalog.State(catalog.Kind(kind), now).Sum
-	}
-	if basis == c.shown {
-		return
-	}
-	c.shown = basis
-	first := c.node.view.Swap(packet.NewView(
-		c.node.settings.DataCentre, routes(configuration), targets(c.catalog.Members(now), now),
-		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
-		packet.WithRegions(c.regions), packet.WithComplete(basis.departures.Complete),
-	)) == nil
-	if first {
-		close(c.node.prepared)
-	}
-}
-
-// regions returns the regions of data centres, and nil if there is only one, so
-// that far targets and the number of hosts that share them need no attention.
-func regions(list []settings.DataCentre) map[string]string {
-	byName, names := map[string]string{}, map[string]bool{}
-	for _, d := range list {
-		byName[d.Name], names[d.Region] = d.Region, true
-	}
-	if len(names) < 2 {
-		return nil
-	}
-	return byName
-}
-
-// hosts counts the live hosts. Only the own data centre counts if there is one
-// region: a change of the others would renew the view for nothing.
-func (c *control) hosts(now time.Duration) hostCounts {
-	hosts, own := c.members.Hosts(now), c.node.settings.DataCentre
-	counts := hostCounts{dataCentre: hosts[own]}
-	if c.regions == nil {
-		return counts
-	}
-	for dataCentre, count := range hosts {
-		counts.fleet += count
-		if c.regions[dataCentre] == c.regions[own] {
-			counts.region += count
-		}
-	}
-	return counts
-}
-
 // noteReady asks the fabric for packets, or to send them to other hosts while
 // this one is cut off from them and what it knows is old.
 func (c *control) noteReady(now time.Duration) {
@@ -372,150 +282,6 @@
 		zap.Bool("isolated", isolated), zap.Bool("leaving", c.leaving), zap.Int("alive", c.members.Alive(now)))
 }
 
-func routes(c *catalog.Configuration) []packet.Route {
-	list := make([]packet.Route, 0, len(c.Routes))
-	for _, r := range c.Routes {
-		route := packet.Route{Address: r.Address, Idle: time.Duration(c.FlowIdle) * time.Millisecond, Idempotent: r.Idempotent}
-		for _, s := range r.Services {
-			route.Services = append(route.Services, packet.ServiceShare{Service: s.Service, Weight: s.Weight})
-		}
-		list = append(list, route)
-	}
-	return list
-}
-
-func targets(members []catalog.Member, now time.Duration) []packet.Target {
-	list := make([]packet.Target, 0, len(members))
-	for _, m := range members {
-		t := packet.Target{
-			Key: packet.TargetKey(m.Key), Name: m.Name, Service: m.Service, DataCentre: m.DataCentre,
-			Address: m.Address, Slots: m.Slots,
-		}
-		switch {
-		case m.Gone:
-			t.State = packet.Gone
-		case m.Departed && m.Draining:
-			t.State = packet.Departed
-		case m.Departed:
-			t.State = packet.Lapsed
-		case m.Draining:
-			t.State = packet.Draining
-		}
-		if m.Warmup > 0 {
-			t.ColdUntil = now + time.Duration(m.Warmup)*time.Millisecond
-		}
-		list = append(list, t)
-	}
-	return list
-}
-
-// speak sends a message to a few hosts.
-func (c *control) speak() {
-	now := c.node.now()
-	c.spoken = now
-	c.tell(c.message(now, c.members.Contacts(now)), c.members.Partners(now)...)
-}
-
-func (c *control) message(now time.Duration, contacts []gossip.Contact) gossip.Message {
-	m := gossip.Message{From: c.self, Leaving: c.leaving, Contacts: contacts}
-	for kind := range m.States {
-		m.States[kind] = c.catalog.State(catalog.Kind(kind), now)
-		if !m.States[kind].Valid {
-			m.Reading[kind], m.Promised[kind] = c.askers[kind].Reading(), c.sources[kind].Promised(now)
-		}
-	}
-	return m
-}
-
-// heed notes how far other hosts are with a list that this one lacks. Seeds read
-// from the store whatever the others do.
-func (c *control) heed(kind catalog.Kind, m *gossip.Message, now time.Duration) {
-	if !c.members.IsSeed() {
-		c.sources[kind].Promise(max(m.Reading[kind], m.Promised[kind]), now)
-	}
-	if c.members.YieldsTo(m) {
-		c.askers[kind].Yield(m.Reading[kind])
-	}
-}
-
-// tell sends a message to hosts.
-func (c *control) tell(m gossip.Message, addresses ...string) {
-	data, err := m.Encode()
-	if err != nil {
-		c.node.log.Error(logs.GossipMessageNotSent, logs.Cause(err))
-		return
-	}
-	for _, address := range addresses {
-		to, err := c.peer(address)
-		if err == nil {
-			err = send(c.socket, data, to)
-		}
-		if err != nil {
-			c.node.log.Warn(logs.GossipMessageNotSent, zap.String("to", address), logs.Cause(err))
-		}
-	}
-}
-
-// peer returns where another host listens for gossip and questions.
-func (c *control) peer(address string) (netip.AddrPort, error) {
-	parsed, err := netip.ParseAddr(address)
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "address of a host")
-	}
-	return netip.AddrPortFrom(parsed, c.port), nil
-}
-
-// receive reads the messages of other hosts until the socket is closed.
-func (c *control) receive() error {
-	buffer := make([]byte, 64<<10)
-	for {
-		length, from, err := c.socket.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "reading a message of a host")
-		}
-		m, err := gossip.DecodeMessage(buffer[:length])
-		if err != nil {
-			c.node.log.Warn(logs.GossipMessageRefused, zap.Stringer("from", from), logs.Cause(err))
-			continue
-		}
-		select {
-		case c.tasks <- func() { c.hear(m) }:
-		default:
-			c.node.metrics.gossipDropped.Inc()
-		}
-	}
-}
-
-func (c *control) hear(m *gossip.Message) {
-	now := c.node.now()
-	c.members.Hear(m, now)
-	behind := false
-	for i := range m.States {
-		kind, state := catalog.Kind(i), m.States[i]
-		complete := now - time.Duration(state.Age)*time.Millisecond
-		if c.catalog.Confirm(kind, state, complete, now) {
-			c.sources[kind].Offer(m.From.Address, now)
-			continue
-		}
-		own := c.catalog.State(kind, now)
-		if !own.Valid {
-			c.heed(kind, m, now)
-		}
-		promised := c.askers[kind].Reading() > 0 || c.sources[kind].Promised(now) > 0
-		behind = behind || gossip.NeedsAnswer(m, own, state, promised)
-	}
-	c.fetchDue()
-	if !behind {
-		return
-	}
-	answer := c.message(now, nil)
-	answer.Answer = true
-	c.tell(answer, m.From.Address)
-}
-
 // reload reads the settings again. The bounds on ages and the wait of a stop hold
 // at once; names, addresses and the log level are those of the start.
 func (c *control) reload() {
--- /dev/null
+++ b/internal/node/news.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"oriolevalve/internal/catalog"
+	"oriolevalve/internal/gossip"
+	"oriolevalve/internal/logs"
+)
+
+// reportHosts logs the hosts that came and went, some of them by name.
+func (c *control) reportHosts() {
+	now := c.node.now()
+	c.reported = now
+	joined, lost := c.members.Changed(now)
+	if len(joined)+len(lost) == 0 {
+		return
+	}
+	c.node.log.Info(logs.PeersChanged, zap.Int("alive", c.members.Alive(now)),
+		zap.Int("joined", len(joined)), zap.Strings("joined_hosts", hostNames(joined)),
+		zap.Int("lost", len(lost)), zap.Strings("lost_hosts", hostNames(lost)))
+}
+
+func hostNames(list []gossip.Host) []string {
+	names := make([]string, 0, min(len(list), namedHosts))
+	for i := range cap(names) {
+		names = append(names, list[i].ID)
+	}
+	return names
+}
+
+// speak sends a message to a few hosts.
+func (c *control) speak() {
+	now := c.node.now()
+	c.spoken = now
+	c.tell(c.message(now, c.members.Contacts(now)), c.members.Partners(now)...)
+}
+
+func (c *control) message(now time.Duration, contacts []gossip.Contact) gossip.Message {
+	m := gossip.Message{From: c.self, Leaving: c.leaving, Contacts: contacts}
+	for kind := range m.States {
+		m.States[kind] = c.catalog.State(catalog.Kind(kind), now)
+		if !m.States[kind].Valid {
+			m.Reading[kind], m.Promised[kind] = c.askers[kind].Reading(), c.sources[kind].Promised(now)
+		}
+	}
+	return m
+}
+
+// heed notes how far other hosts are with a list that this one lacks. Seeds read
+// from the store whatever the others do.
+func (c *control) heed(kind catalog.Kind, m *gossip.Message, now time.Duration) {
+	if !c.members.IsSeed() {
+		c.sources[kind].Promise(max(m.Reading[kind], m.Promised[kind]), now)
+	}
+	if c.members.YieldsTo(m) {
+		c.askers[kind].Yield(m.Reading[kind])
+	}
+}
+
+// tell sends a message to hosts.
+func (c *control) tell(m gossip.Message, addresses ...string) {
+	data, err := m.Encode()
+	if err != nil {
+		c.node.log.Error(logs.GossipMessageNotSent, logs.Cause(err))
+		return
+	}
+	for _, address := range addresses {
+		to, err := c.peer(address)
+		if err == nil {
+			err = send(c.socket, data, to)
+		}
+		if err != nil {
+			c.node.log.Warn(logs.GossipMessageNotSent, zap.String("to", address), logs.Cause(err))
+		}
+	}
+}
+
+// peer returns where another host listens for gossip and questions.
+func (c *control) peer(address string) (netip.AddrPort, error) {
+	parsed, err := netip.ParseAddr(address)
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "address of a host")
+	}
+	return netip.AddrPortFrom(parsed, c.port), nil
+}
+
+// receive reads the messages of other hosts until the socket is closed.
+func (c *control) receive() error {
+	buffer := make([]byte, 64<<10)
+	for {
+		length, from, err := c.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "reading a message of a host")
+		}
+		m, err := gossip.DecodeMessage(buffer[:length])
+		if err != nil {
+			c.node.log.Warn(logs.GossipMessageRefused, zap.Stringer("from", from), logs.Cause(err))
+			continue
+		}
+		select {
+		case c.tasks <- func() { c.hear(m) }:
+		default:
+			c.node.metrics.gossipDropped.Inc()
+		}
+	}
+}
+
+func (c *control) hear(m *gossip.Message) {
+	now := c.node.now()
+	c.members.Hear(m, now)
+	behind := false
+	for i := range m.States {
+		kind, state := catalog.Kind(i), m.States[i]
+		complete := now - time.Duration(state.Age)*time.Millisecond
+		if c.catalog.Confirm(kind, state, complete, now) {
+			c.sources[kind].Offer(m.From.Address, now)
+			continue
+		}
+		own := c.catalog.State(kind, now)
+		if !own.Valid {
+			c.heed(kind, m, now)
+		}
+		promised := c.askers[kind].Reading() > 0 || c.sources[kind].Promised(now) > 0
+		behind = behind || gossip.NeedsAnswer(m, own, state, promised)
+	}
+	c.fetchDue()
+	if !behind {
+		return
+	}
+	answer := c.message(now, nil)
+	answer.Answer = true
+	c.tell(answer, m.From.Address)
+}
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"time"
+
+	"oriolevalve/internal/catalog"
+	"oriolevalve/internal/packet"
+	"oriolevalve/internal/settings"
+)
+
+// viewBasis tells whether a view has to be made again.
+type viewBasis struct {
+	states     [catalog.KindCount]uint64
+	departures catalog.Departures
+	hosts      hostCounts
+}
+
+// hostCounts are the numbers of live hosts that share targets, with this one.
+type hostCounts struct{ dataCentre, region, fleet int }
+
+// show publishes a view if it would differ from the last one.
+func (c *control) show() {
+	now := c.node.now()
+	configuration := c.catalog.Configuration()
+	_, known := c.catalog.Age(catalog.Targets, now)
+	c.node.metrics.aged(c.catalog, now)
+	if configuration == nil || !known {
+		return
+	}
+	defer c.noteReady(now)
+	basis := viewBasis{departures: c.catalog.Departures(now), hosts: c.hosts(now)}
+	for kind := range basis.states {
+		basis.states[kind] = c.catalog.State(catalog.Kind(kind), now).Sum
+	}
+	if basis == c.shown {
+		return
+	}
+	c.shown = basis
+	first := c.node.view.Swap(packet.NewView(
+		c.node.settings.DataCentre, routes(configuration), targets(c.catalog.Members(now), now),
+		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
+		packet.WithRegions(c.regions), packet.WithComplete(basis.departures.Complete),
+	)) == nil
+	if first {
+		close(c.node.prepared)
+	}
+}
+
+// regions returns the regions of data centres, and nil if there is only one, so
+// that far targets and the number of hosts that share them need no attention.
+func regions(list []settings.DataCentre) map[string]string {
+	byName, names := map[string]string{}, map[string]bool{}
+	for _, d := range list {
+		byName[d.Name], names[d.Region] = d.Region, true
+	}
+	if len(names) < 2 {
+		return nil
+	}
+	return byName
+}
+
+// hosts counts the live hosts. Only the own data centre counts if there is one
+// region: a change of the others would renew the view for nothing.
+func (c *control) hosts(now time.Duration) hostCounts {
+	hosts, own := c.members.Hosts(now), c.node.settings.DataCentre
+	counts := hostCounts{dataCentre: hosts[own]}
+	if c.regions == nil {
+		return counts
+	}
+	for dataCentre, count := range hosts {
+		counts.fleet += count
+		if c.regions[dataCentre] == c.regions[own] {
+			counts.region += count
+		}
+	}
+	return counts
+}
+
+func routes(c *catalog.Configuration) []packet.Route {
+	list := make([]packet.Route, 0, len(c.Routes))
+	for _, r := range c.Routes {
+		route := packet.Route{Address: r.Address, Idle: time.Duration(c.FlowIdle) * time.Millisecond, Idempotent: r.Idempotent}
+		for _, s := range r.Services {
+			route.Services = append(route.Services, packet.ServiceShare{Service: s.Service, Weight: s.Weight})
+		}
+		list = append(list, route)
+	}
+	return list
+}
+
+func targets(members []catalog.Member, now time.Duration) []packet.Target {
+	list := make([]packet.Target, 0, len(members))
+	for _, m := range members {
+		t := packet.Target{
+			Key: packet.TargetKey(m.Key), Name: m.Name, Service: m.Service, DataCentre: m.DataCentre,
+			Address: m.Address, Slots: m.Slots,
+		}
+		switch {
+		case m.Gone:
+			t.State = packet.Gone
+		case m.Departed && m.Draining:
+			t.State = packet.Departed
+		case m.Departed:
+			t.State = packet.Lapsed
+		case m.Draining:
+			t.State = packet.Draining
+		}
+		if m.Warmup > 0 {
+			t.ColdUntil = now + time.Duration(m.Warmup)*time.Millisecond
+		}
+		list = append(list, t)
+	}
+	return list
+}
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -70,65 +69,6 @@
 	proofs [deadProofs]time.Duration
 }
 
-// Belief is a change of what the plane thinks of a target or of a data centre.
-type Belief struct {
-	// Target is empty if the belief is about a data centre.
-	Target     string
-	DataCentre string
-	// Silent is set if the target gets no new flows while others answer.
-	Silent bool
-	// Repeats is the number of packets that clients repeated, Unanswered is set if
-	// an opening packet was among them.
-	Repeats    int
-	Unanswered bool
-	// Silence is the time since the first of them.
-	Silence time.Duration
-	// Retried is set if the target gets flows again only because it was silent for
-	// long.
-	Retried bool
-	// Dead is set if flows of requests that may be repeated leave the target too.
-	Dead bool
-	// Flows is the number of flows whose clients repeated packets.
-	Flows int
-}
-
-// Beliefs returns the changes since the last call.
-func (p *Plane) Beliefs() []Belief {
-	changes := p.beliefs
-	p.beliefs = nil
-	return changes
-}
-
-// reconsider notes whether the belief about a target has changed.
-func (p *Plane) reconsider(now time.Duration, t *targetRecord) {
-	b := Belief{Target: t.Name, DataCentre: t.DataCentre, Repeats: t.repeats, Unanswered: t.unanswered}
-	if t.silentSince != 0 {
-		b.Silence = now - t.silentSince
-	}
-	b.Silent = t.silent(now)
-	if b.Silent == t.doubted {
-		return
-	}
-	b.Retried = t.retried
-	t.doubted = b.Silent
-	p.beliefs = append(p.beliefs, b)
-	if b.Silent && t.dataCentre != nil {
-		t.dataCentre.fellSilent(now)
-	}
-}
-
-// reconsiderDataCentres notes changes of the beliefs about data centres.
-func (p *Plane) reconsiderDataCentres(now time.Duration) {
-	for _, d := range p.dataCentres {
-		if unreachable := d.unreachable(now); unreachable != d.doubted {
-			d.doubted = unreachable
-			p.beliefs = append(p.beliefs, Belief{
-				DataCentre: d.name, Silent: unreachable, Silence: now - d.since, Repeats: d.silent, Retried: !unreachable && d.silent > 0,
-			})
-		}
-	}
-}
-
 // NewPlane returns a plane without a view: it drops every packet.
 func NewPlane(random *rand.Rand) *Plane {
 	return &Plane{
@@ -307,39 +247,6 @@
 	return forward(f.target, ReasonOpen)
 }
 
-// prove notes that a flow which opened at a time was answered.
-func (p *Plane) prove(opened time.Duration) {
-	if opened > p.proofs[0] {
-		p.proofs[0] = opened
-		slices.Sort(p.proofs[:])
-	}
-}
-
-// leaves reports whether the client of a flow is told to open a new one, because the
-// target seems dead: its request may be repeated, and would wait for its deadline.
-// A packet without data asks for nothing.
-func (p *Plane) leaves(now time.Duration, t *targetRecord, route *Route, k *Packet) bool {
-	if k.Length == 0 || k.Reset || t.silentSince == 0 && !t.dead {
-		return false
-	}
-	waited := now - t.probed
-	if waited >= probeInterval {
-		t.probed = now
-		return false
-	}
-	if !t.dead {
-		if waited < probeWait || !t.dying(now, p.proofs[0]) {
-			return false
-		}
-		t.dead = true
-		p.beliefs = append(p.beliefs, Belief{
-			Target: t.Name, DataCentre: t.DataCentre, Silent: true, Dead: true, Repeats: t.repeats, Flows: t.repeaters,
-			Unanswered: t.unanswered, Silence: now - t.silentSince,
-		})
-	}
-	return route.Idempotent
-}
-
 // reused reports whether a packet belongs to a later flow of the same addresses,
 // which another host opened. A tag alone does not tell: if two targets answered
 // the opening, the client may return the tag of the other one.
