--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -5,12 +5,12 @@
 	"net/netip"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
-
 	"oriolevalve/internal/catalog"
 	"oriolevalve/internal/gossip"
 	"oriolevalve/internal/logs"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 )
 
 // reportHosts logs the hosts that came and went, some of them by name.
