Name things as a newcomer would look for them

Ruled out: changes of behaviour. Change: names and comments only: answered, seemsDead, abandons, noteReading, internal/node/gossip.go.

--- a/internal/node/news.go
+++ b/internal/node/gossip.go
@@ -52,9 +52,9 @@
 	return m
 }
 
-// heed notes how far other hosts are with a list that this one lacks. Seeds read
+// noteReading notes how far other hosts are with a list that this one lacks. Seeds read
 // from the store whatever the others do.
-func (c *control) heed(kind catalog.Kind, m *gossip.Message, now time.Duration) {
+func (c *control) noteReading(kind catalog.Kind, m *gossip.Message, now time.Duration) {
 	if !c.members.IsSeed() {
 		c.sources[kind].Promise(max(m.Reading[kind], m.Promised[kind]), now)
 	}
@@ -127,7 +127,7 @@
 		}
 		own := c.catalog.State(kind, now)
 		if !own.Valid {
-			c.heed(kind, m, now)
+			c.noteReading(kind, m, now)
 		}
 		promised := c.askers[kind].Reading() > 0 || c.sources[kind].Promised(now) > 0
 		behind = behind || gossip.NeedsAnswer(m, own, state, promised)
--- a/internal/packet/belief.go
+++ b/internal/packet/belief.go
@@ -64,18 +64,18 @@
 	}
 }
 
-// prove notes that a flow which opened at a time was answered.
-func (p *Plane) prove(opened time.Duration) {
-	if opened > p.proofs[0] {
-		p.proofs[0] = opened
-		slices.Sort(p.proofs[:])
+// noteAnswered notes that a flow which opened at a time was answered.
+func (p *Plane) noteAnswered(opened time.Duration) {
+	if opened > p.answered[0] {
+		p.answered[0] = opened
+		slices.Sort(p.answered[:])
 	}
 }
 
-// leaves reports whether the client of a flow is told to open a new one, because the
+// abandons reports whether the client of a flow is told to open a new one, because the
 // target seems dead: its request may be repeated, and would wait for its deadline.
 // A packet without data asks for nothing.
-func (p *Plane) leaves(now time.Duration, t *targetRecord, route *Route, k *Packet) bool {
+func (p *Plane) abandons(now time.Duration, t *targetRecord, route *Route, k *Packet) bool {
 	if k.Length == 0 || k.Reset || t.silentSince == 0 && !t.dead {
 		return false
 	}
@@ -85,7 +85,7 @@
 		return false
 	}
 	if !t.dead {
-		if waited < probeWait || !t.dying(now, p.proofs[0]) {
+		if waited < probeWait || !t.seemsDead(now, p.answered[0]) {
 			return false
 		}
 		t.dead = true
--- a/internal/packet/dead_test.go
+++ b/internal/packet/dead_test.go
@@ -203,7 +203,7 @@
 		f.run(2 * time.Second)
 		f.dead = func(key packet.TargetKey) bool { return key == 1 }
 		f.run(3 * time.Second)
-		require.Empty(t, f.refusals, "two flows are no proof")
+		require.Empty(t, f.refusals, "two flows are not enough")
 	})
 	t.Run("not_idempotent", func(t *testing.T) {
 		f := newFeeds(60, false)
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -64,9 +64,9 @@
 	dataCentres map[string]*dataCentreRecord
 	sweep       []Flow
 	beliefs     []Belief
-	// proofs are the times at which the flows opened that were answered last, in
+	// answered holds the latest opening times of flows that were answered, in
 	// ascending order.
-	proofs [deadProofs]time.Duration
+	answered [deadAnswers]time.Duration
 }
 
 // NewPlane returns a plane without a view: it drops every packet.
@@ -225,7 +225,7 @@
 		}
 		f.state, f.acknowledged = flowOpen, k.Acknowledgement
 		f.target.progress()
-		p.prove(f.requested)
+		p.noteAnswered(f.requested)
 	}
 	defer p.reconsider(now, f.target)
 	p.observe(now, f, k)
@@ -240,7 +240,7 @@
 	if route == nil {
 		return Decision{Action: Refuse, Reason: ReasonNoRoute}
 	}
-	if p.leaves(now, f.target, route, k) {
+	if p.abandons(now, f.target, route, k) {
 		p.forget(k.Flow, f)
 		return Decision{Action: Refuse, Reason: ReasonTargetDead, Name: f.target.Name}
 	}
@@ -278,7 +278,7 @@
 		return forward(t, ReasonRouteUnknown)
 	case k.Reset:
 		return forward(t, ReasonAdopted)
-	case p.leaves(now, t, route, k):
+	case p.abandons(now, t, route, k):
 		return Decision{Action: Refuse, Reason: ReasonTargetDead, Name: t.Name}
 	}
 	f := &flowRecord{
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -13,14 +13,14 @@
 	// responseWeight is the weight of a new response time in the mean, the usual
 	// value of TCP's estimator (RFC 6298).
 	responseWeight = 1.0 / 8
-	// deadLimit, deadFlows and deadProofs say when a target counts as dead for its
+	// deadLimit, deadFlows and deadAnswers say when a target counts as dead for its
 	// open flows: no progress for that long, after so many flows repeated packets,
 	// while that many flows which opened later were answered by others. The latter
 	// shows that the host itself is neither behind nor cut off. A client's second
 	// repeat comes after 600 ms.
 	deadLimit  = 600 * time.Millisecond
 	deadFlows  = 3
-	deadProofs = 3
+	deadAnswers = 3
 	// probeInterval is the time after which a packet to a target without signs of
 	// life is forwarded whatever is believed, so that a target that is back shows:
 	// a tenth of the 4 s in which the platform forgives a wrong belief after a cut.
@@ -101,10 +101,10 @@
 	f.repeated = now
 }
 
-// dying reports whether a target has to count as dead. Proofs is the time at which
-// the earliest of the last deadProofs answered flows opened.
-func (t *targetRecord) dying(now, proofs time.Duration) bool {
-	return t.silentSince != 0 && now-t.silentSince >= deadLimit && t.repeaters >= deadFlows && proofs > t.silentSince &&
+// seemsDead reports whether a target has to count as dead, if deadAnswers flows that
+// opened at the given time or later were answered.
+func (t *targetRecord) seemsDead(now, answered time.Duration) bool {
+	return t.silentSince != 0 && now-t.silentSince >= deadLimit && t.repeaters >= deadFlows && answered > t.silentSince &&
 		(t.dataCentre == nil || !t.dataCentre.unreachable(now))
 }
 
