--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -18,8 +18,8 @@
 	// while that many flows which opened later were answered by others. The latter
 	// shows that the host itself is neither behind nor cut off. A client's second
 	// repeat comes after 600 ms.
-	deadLimit  = 600 * time.Millisecond
-	deadFlows  = 3
+	deadLimit   = 600 * time.Millisecond
+	deadFlows   = 3
 	deadAnswers = 3
 	// probeInterval is the time after which a packet to a target without signs of
 	// life is forwarded whatever is believed, so that a target that is back shows:
