--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +19,7 @@
 
 	"oriolevalve/internal/caller"
 	"oriolevalve/internal/clock"
+	"oriolevalve/internal/golden"
 	"oriolevalve/internal/target"
 	"oriolevalve/pkg/flow"
 
@@ -146,9 +146,7 @@
 	t.Helper()
 	data, err := os.ReadFile(path)
 	require.NoError(t, err)
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	require.NoError(t, decoder.Decode(into))
+	golden.Decode(t, data, into)
 }
 
 type routed struct {
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -3,6 +3,8 @@
 package golden
 
 import (
+	"bytes"
+	"encoding/json"
 	"flag"
 	"os"
 	"path/filepath"
@@ -40,3 +42,12 @@
 		})
 	}
 }
+
+// Decode reads an input of JSON into a value. A field that the value does not have
+// fails the test, so that a misspelt one is not skipped.
+func Decode(t *testing.T, input []byte, into any) {
+	t.Helper()
+	decoder := json.NewDecoder(bytes.NewReader(input))
+	decoder.DisallowUnknownFields()
+	require.NoError(t, decoder.Decode(into))
+}
--- a/internal/packet/script_test.go
+++ b/internal/packet/script_test.go
@@ -1,9 +1,7 @@
 package packet_test
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -15,8 +13,6 @@
 
 	"oriolevalve/internal/golden"
 	"oriolevalve/internal/packet"
-
-	"github.com/stretchr/testify/require"
 )
 
 func TestMain(m *testing.M) {
@@ -150,9 +146,7 @@
 func TestScripts(t *testing.T) {
 	golden.Run(t, "testdata/scripts/*/input.json", func(t *testing.T, input []byte) string {
 		var s script
-		decoder := json.NewDecoder(bytes.NewReader(input))
-		decoder.DisallowUnknownFields()
-		require.NoError(t, decoder.Decode(&s))
+		golden.Decode(t, input, &s)
 		return s.run()
 	})
 }
--- a/pkg/flow/flow_test.go
+++ b/pkg/flow/flow_test.go
@@ -1,8 +1,6 @@
 package flow_test
 
 import (
-	"bytes"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"math"
@@ -116,9 +114,7 @@
 func TestScripts(t *testing.T) {
 	golden.Run(t, "testdata/scripts/*/input.json", func(t *testing.T, input []byte) string {
 		var s script
-		decoder := json.NewDecoder(bytes.NewReader(input))
-		decoder.DisallowUnknownFields()
-		require.NoError(t, decoder.Decode(&s))
+		golden.Decode(t, input, &s)
 		return s.run()
 	})
 }
