Log and count restores of the store and answers that are left out

Cause: an answer that a host does not merge left no line, and nothing told the store's revision or how often it was restored.

Change: the header that counts restores reaches the catalog as the epoch of a batch; Merge returns what became of a batch. New lines store_restored and answer_left_out, new metrics store_epoch, catalog_revision and answers_left_out_total. No decision changes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -43,7 +43,10 @@
 type Batch struct {
 	// Whole is set if the objects are all that exist; otherwise they are the
 	// changes after revision Since.
-	Whole    bool
+	Whole bool
+	// Epoch counts how often the store came back from an older copy of its data. Revisions
+	// of one epoch say nothing about those of another, since the store gives them out again.
+	Epoch    uint64
 	Since    uint64
 	Objects  []Object
 	Revision uint64
@@ -157,13 +160,39 @@
 	return now - l.confirmed, l.valid
 }
 
-// Merge adds a batch that was complete at a time. It reports whether the
-// objects changed. A batch that the catalog can't connect to what it has is
-// left out, and so is everything older than it.
-func (c *Catalog) Merge(kind Kind, b Batch, complete, now time.Duration) bool {
+// MergeResult says what became of a batch.
+type MergeResult uint8
+
+// The results of a merge.
+const (
+	// Changed means that the objects changed, Unchanged that the batch confirmed them.
+	Changed MergeResult = iota
+	Unchanged
+	// OlderRevision means that the batch ends before the revision that the catalog has.
+	OlderRevision
+	// Disconnected means that the batch begins after that revision.
+	Disconnected
+	// Conflicting means that the batch has another object under a revision that the
+	// catalog knows: the store gave the revision out twice.
+	Conflicting
+	MergeResultCount
+)
+
+var mergeResultNames = [MergeResultCount]string{"changed", "unchanged", "older_revision", "disconnected", "conflicting"}
+
+// String returns the name of the result in logs and metrics.
+func (r MergeResult) String() string { return mergeResultNames[r] }
+
+// Merge adds a batch that was complete at a time. A batch that the catalog can't connect
+// to what it has is left out, and so is everything older than it.
+func (c *Catalog) Merge(kind Kind, b Batch, complete, now time.Duration) MergeResult {
 	l := &c.collections[kind]
 	before := l.sum
 	l.applied = l.applied[:0]
+	result := Unchanged
+	if b.Whole && l.conflicts(b.Objects) {
+		result = Conflicting
+	}
 	switch {
 	case b.Whole && (!l.valid || b.Revision > l.revision):
 		l.replace(b, now)
@@ -173,13 +202,35 @@
 		}
 		l.revision = b.Revision
 	case !l.valid || b.Revision > l.revision:
-		return false
+		return Disconnected
+	case b.Revision < l.revision && result == Unchanged:
+		result = OlderRevision
 	}
 	first := !l.valid
 	l.valid = true
 	c.confirm(l, complete, now)
 	c.forget(l, now)
-	return first || l.sum != before
+	if first || l.sum != before {
+		return Changed
+	}
+	return result
+}
+
+// conflicts reports whether an object has a known revision and other content.
+func (l *collection) conflicts(objects []Object) bool {
+	for i := range objects {
+		o, old := &objects[i], l.objects[objects[i].Name]
+		if old == nil || old.Deleted || old.Revision != o.Revision {
+			continue
+		}
+		if o.Configuration != nil && old.Configuration != nil && o.Configuration.Version != old.Configuration.Version {
+			return true
+		}
+		if o.Target != nil && old.Target != nil && !o.Target.sameEntry(old.Target) {
+			return true
+		}
+	}
+	return false
 }
 
 // Applied returns the changes that the last merge made, with the removal of
--- a/internal/catalog/poller.go
+++ b/internal/catalog/poller.go
@@ -60,6 +60,8 @@
 	// After; otherwise the call asks for the changes after Since and waits for one.
 	List  bool
 	After string
+	// Epoch is the epoch of the store in which Since was given out.
+	Epoch uint64
 	Since uint64
 	Wait  time.Duration
 }
@@ -201,7 +203,7 @@
 	}
 	if call.After == "" {
 		// Later pages may hold newer objects, whose changes a watch repeats.
-		a.pages.Revision = b.Revision
+		a.pages.Epoch, a.pages.Revision = b.Epoch, b.Revision
 	}
 	a.pages.Objects = append(a.pages.Objects, b.Objects...)
 	a.pages.Next = b.Next
--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -46,6 +46,14 @@
 	Born int64 `json:"born,omitempty"`
 }
 
+// sameEntry reports whether two copies of an entry are equal. Hosts send what is left of a
+// warm-up.
+func (t *Target) sameEntry(other *Target) bool {
+	a, b := *t, *other
+	a.Warmup, b.Warmup = 0, 0
+	return a == b
+}
+
 // returnLimit is the time in which the entry of a live target is back after an
 // outage of the store; one that is missing longer has ended.
 const returnLimit = 2500 * time.Millisecond
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -50,6 +50,8 @@
 	StoreUnreachable      = "store_unreachable"
 	StoreReachable        = "store_reachable"
 	StoreAsked            = "store_asked"
+	StoreRestored         = "store_restored"
+	AnswerLeftOut         = "answer_left_out"
 	ObjectMalformed       = "object_malformed"
 	ConfigurationAdopted  = "configuration_adopted"
 	TargetsChanged        = "targets_changed"
@@ -90,7 +92,7 @@
 		OwnershipTaken, OwnershipReleased, HandoverSent, HandoverReceived, HandoverFailed,
 		TargetEjected, TargetReturned,
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused,
-		StoreUnreachable, StoreReachable, StoreAsked, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
+		StoreUnreachable, StoreReachable, StoreAsked, StoreRestored, AnswerLeftOut, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
 		TargetSilent, TargetAnswers, TargetDead, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed, SocketFailed, UnexpectedError, ProcessPaused,
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -62,6 +62,8 @@
 	shown viewBasis
 	// reachable is the last outcome of a call to the store.
 	reachable, called bool
+	// epoch is that of the store's last answer.
+	epoch uint64
 }
 
 // newControl returns the control state of a node that runs until the context ends.
@@ -234,6 +236,7 @@
 	taken := false
 	if outcome == catalog.Answered {
 		// An answer that waited through a pause holds from its arrival.
+		c.noteEpoch(call, batch)
 		batch, complete, taken = c.askers[call.Kind].AddAnswer(call, batch, started, now-c.node.pauses.delay(now))
 	}
 	c.noteStore(call, outcome, now-started, err)
@@ -258,6 +261,18 @@
 	c.node.log.Warn(logs.StoreUnreachable, zap.Stringer("collection", call.Kind), zap.Duration("after", after), logs.Cause(err))
 }
 
+// noteEpoch logs that the store came back from an older copy.
+func (c *control) noteEpoch(call catalog.Call, batch catalog.Batch) {
+	if batch.Epoch == c.epoch {
+		return
+	}
+	c.node.log.Warn(logs.StoreRestored, zap.Stringer("collection", call.Kind), zap.Bool("list", call.List),
+		zap.Uint64("since", call.Since), zap.Uint64("revision", batch.Revision), zap.Int("objects", len(batch.Objects)),
+		zap.Uint64("epoch", batch.Epoch), zap.Uint64("known_epoch", c.epoch))
+	c.epoch = batch.Epoch
+	c.node.metrics.storeEpoch.Set(float64(c.epoch))
+}
+
 func (c *control) malformed(kind catalog.Kind, name string, revision uint64, reason error) {
 	c.node.log.Warn(logs.ObjectMalformed, zap.Stringer("collection", kind), zap.String("name", name),
 		zap.Uint64("revision", revision), logs.Cause(reason))
@@ -267,7 +282,12 @@
 func (c *control) merge(kind catalog.Kind, batch catalog.Batch, complete time.Duration, source string) {
 	now := c.node.now()
 	_, known := c.catalog.Age(kind, now)
-	if !c.catalog.Merge(kind, batch, complete, now) {
+	switch result := c.catalog.Merge(kind, batch, complete, now); result {
+	case catalog.Changed:
+	case catalog.Unchanged:
+		return
+	default:
+		c.noteLeftOut(kind, batch, result, source)
 		return
 	}
 	if !known {
@@ -295,6 +315,23 @@
 	}
 }
 
+// noteLeftOut logs an answer that the catalog did not take.
+func (c *control) noteLeftOut(kind catalog.Kind, batch catalog.Batch, reason catalog.MergeResult, source string) {
+	c.node.metrics.leftOut[kind][reason].Inc()
+	fields := []zap.Field{
+		zap.Stringer("collection", kind), zap.String("source", source), zap.Stringer("reason", reason),
+		zap.Bool("whole", batch.Whole), zap.Uint64("epoch", batch.Epoch), zap.Uint64("since", batch.Since),
+		zap.Uint64("revision", batch.Revision), zap.Int("objects", len(batch.Objects)),
+		zap.Uint64("known_revision", c.catalog.State(kind, c.node.now()).Revision),
+	}
+	for i := range batch.Objects {
+		if configuration := batch.Objects[i].Configuration; configuration != nil {
+			fields = append(fields, zap.Uint64("version", configuration.Version))
+		}
+	}
+	c.node.log.Info(logs.AnswerLeftOut, fields...)
+}
+
 // namedTargets is the number of targets of one change that get a line each.
 const namedTargets = 50
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -27,6 +27,9 @@
 	calls         [catalog.KindCount][len(outcomeNames)]prometheus.Counter
 	ages          [catalog.KindCount]prometheus.Gauge
 	flows         prometheus.Gauge
+	revisions     [catalog.KindCount]prometheus.Gauge
+	leftOut       [catalog.KindCount][catalog.MergeResultCount]prometheus.Counter
+	storeEpoch    prometheus.Gauge
 	gossipDropped prometheus.Counter
 	linesRepeated prometheus.Counter
 	decisionTime  prometheus.Histogram
@@ -59,6 +62,15 @@
 	ages := prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "catalog_age_seconds", Help: "Time since a collection was confirmed to be complete.",
 	}, []string{"collection"})
+	revisions := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "catalog_revision", Help: "Revision of the store up to which a collection is complete.",
+	}, []string{"collection"})
+	leftOut := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "answers_left_out_total", Help: "Answers of the store and of hosts that were not merged, by reason.",
+	}, []string{"collection", "reason"})
+	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "store_epoch", Help: "Times that the store came back from an older copy, as its last answer counts them.",
+	})
 	unexpected := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "unexpected_errors_total", Help: "Errors of sockets and of the program that ended one input only.",
 	}, []string{"part"})
@@ -72,11 +84,15 @@
 	}
 	for kind := range catalog.KindCount {
 		m.ages[kind] = ages.WithLabelValues(kind.String())
+		m.revisions[kind] = revisions.WithLabelValues(kind.String())
+		for result := catalog.OlderRevision; result < catalog.MergeResultCount; result++ {
+			m.leftOut[kind][result] = leftOut.WithLabelValues(kind.String(), result.String())
+		}
 		for outcome, name := range outcomeNames {
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
 		}
 	}
-	m.registry.MustRegister(decisions, calls, ages, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
+	m.registry.MustRegister(decisions, calls, ages, revisions, leftOut, m.storeEpoch, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
 	return m
 }
 
@@ -95,6 +111,7 @@
 	for kind := range catalog.KindCount {
 		if age, valid := c.Age(kind, now); valid {
 			m.ages[kind].Set(age.Seconds())
+			m.revisions[kind].Set(float64(c.State(kind, now).Revision))
 		}
 	}
 }
