Order what is known of the store by its epoch, then by its revision

What callers saw: a configuration that the store had accepted after it came back from an older copy was not in force, for as long as the host lived; a target that registered then got no flows.

Cause: hosts compared revisions from before and after the restore, which the store gives out again. A list at a lower revision was left out and confirmed the old state; later the watch was accepted and began after the change. The class: numbers of different counters compared as one.

Change: the store's count of restores is the epoch of a position. A later epoch wins whatever its revision, and only a whole list leads to it; answers and hosts of an earlier epoch neither change nor confirm anything. A watch that is answered in another epoch ends in a list, pages of two epochs are not joined, and the encoded collection and the answers of hosts are told apart by epoch. The configuration in force is held while the restored store has an older version or none, and hosts tell each other of it; an accepted configuration never reverts. Hosts of earlier builds tell no epoch: they confirm nothing to newer ones and are answered by revision as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -44,12 +44,14 @@
 	// Whole is set if the objects are all that exist; otherwise they are the
 	// changes after revision Since.
 	Whole bool
-	// Epoch counts how often the store came back from an older copy of its data. Revisions
-	// of one epoch say nothing about those of another, since the store gives them out again.
+	// Epoch is the epoch of the store in which the revisions were given out.
 	Epoch    uint64
 	Since    uint64
 	Objects  []Object
 	Revision uint64
+	// Held is the configuration that another host holds against an older one of the
+	// store; nil if it holds none.
+	Held *Configuration
 	// Next is the name after which the next page starts; empty on the last page
 	// and for all batches that are no pages.
 	Next string
@@ -75,8 +77,8 @@
 // collection is one kind of objects.
 type collection struct {
 	objects map[string]*known
-	// revision is that up to which the collection is complete.
-	revision uint64
+	// Position is that up to which the collection is complete.
+	Position
 	// horizon is the oldest revision after which all changes are remembered.
 	horizon uint64
 	sum     uint64
@@ -88,6 +90,9 @@
 	// departed holds deleted objects with the time at which this host learned it.
 	departed   map[string]departure
 	tombstones int
+	// held is the configuration that was in force when the store came back with an older
+	// one. It stays in force until the store has its version again.
+	held *Configuration
 	// applied holds the changes of the last merge.
 	applied []Object
 }
@@ -145,12 +150,24 @@
 	Checksum uint64 `cbor:"3,keyasint"`
 	// Age is the time in milliseconds since the last confirmation.
 	Age int64 `cbor:"4,keyasint"`
+	// Epoch is that of the revision.
+	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+	// Held is the version of the configuration that the host holds against an older one of
+	// the store; zero if it holds none.
+	Held uint64 `cbor:"6,keyasint,omitempty"`
 }
 
+// Position returns the position up to which the collection is complete.
+func (s State) Position() Position { return Position{Epoch: s.Epoch, Revision: s.Revision} }
+
 // State returns the state of a collection.
 func (c *Catalog) State(kind Kind, now time.Duration) State {
 	l := &c.collections[kind]
-	return State{Valid: l.valid, Revision: l.revision, Checksum: l.sum, Age: (now - l.confirmed).Milliseconds()}
+	s := State{Valid: l.valid, Epoch: l.Epoch, Revision: l.Revision, Checksum: l.sum, Age: (now - l.confirmed).Milliseconds()}
+	if l.held != nil {
+		s.Held = l.held.Version
+	}
+	return s
 }
 
 // Age returns the time since a collection was confirmed to be complete, and
@@ -168,6 +185,10 @@
 	// Changed means that the objects changed, Unchanged that the batch confirmed them.
 	Changed MergeResult = iota
 	Unchanged
+	// Restored means that the objects of a later epoch took the place of all others.
+	Restored
+	// OlderEpoch means that the batch is from before the store came back from a copy.
+	OlderEpoch
 	// OlderRevision means that the batch ends before the revision that the catalog has.
 	OlderRevision
 	// Disconnected means that the batch begins after that revision.
@@ -178,40 +199,56 @@
 	MergeResultCount
 )
 
-var mergeResultNames = [MergeResultCount]string{"changed", "unchanged", "older_revision", "disconnected", "conflicting"}
+var mergeResultNames = [MergeResultCount]string{"changed", "unchanged", "restored", "older_epoch", "older_revision", "disconnected", "conflicting"}
 
 // String returns the name of the result in logs and metrics.
 func (r MergeResult) String() string { return mergeResultNames[r] }
 
 // Merge adds a batch that was complete at a time. A batch that the catalog can't connect
-// to what it has is left out, and so is everything older than it.
+// to what it has is left out, and so is everything older than it. Only a whole batch leads
+// to a later epoch, since the revisions of changes can't be connected across epochs.
 func (c *Catalog) Merge(kind Kind, b Batch, complete, now time.Duration) MergeResult {
 	l := &c.collections[kind]
-	before := l.sum
 	l.applied = l.applied[:0]
+	before, first := l.sum, !l.valid
+	result := l.take(b, now)
+	if result != Disconnected && result != OlderEpoch {
+		l.valid = true
+		l.release()
+		c.confirm(l, complete, now)
+		c.forget(l, now)
+	}
+	// A configuration that another host holds counts whatever that host's position.
+	held := l.hold(b.Held)
+	if result != Restored && (held || first && l.valid || l.sum != before) {
+		return Changed
+	}
+	return result
+}
+
+// take merges the objects of a batch.
+func (l *collection) take(b Batch, now time.Duration) MergeResult {
 	result := Unchanged
-	if b.Whole && l.conflicts(b.Objects) {
+	if b.Whole && b.Epoch == l.Epoch && l.conflicts(b.Objects) {
 		result = Conflicting
 	}
 	switch {
-	case b.Whole && (!l.valid || b.Revision > l.revision):
+	case l.valid && b.Epoch < l.Epoch:
+		return OlderEpoch
+	case b.Whole && l.valid && b.Epoch > l.Epoch:
+		l.restart(b, now)
+		return Restored
+	case b.Whole && (!l.valid || b.Revision > l.Revision):
 		l.replace(b, now)
-	case !b.Whole && l.valid && b.Since <= l.revision && b.Revision >= l.revision:
+	case !b.Whole && l.valid && b.Epoch == l.Epoch && b.Since <= l.Revision && b.Revision >= l.Revision:
 		for i := range b.Objects {
 			l.apply(&b.Objects[i], b.Revision, now)
 		}
-		l.revision = b.Revision
-	case !l.valid || b.Revision > l.revision:
+		l.Revision = b.Revision
+	case !l.valid || b.Epoch > l.Epoch || b.Revision > l.Revision:
 		return Disconnected
-	case b.Revision < l.revision && result == Unchanged:
-		result = OlderRevision
-	}
-	first := !l.valid
-	l.valid = true
-	c.confirm(l, complete, now)
-	c.forget(l, now)
-	if first || l.sum != before {
-		return Changed
+	case b.Revision < l.Revision && result == Unchanged:
+		return OlderRevision
 	}
 	return result
 }
@@ -244,15 +281,16 @@
 	if !other.Valid {
 		return false
 	}
-	if !l.valid {
+	switch {
+	case !l.valid || other.Epoch > l.Epoch || other.Held > 0 && other.Held > l.version():
+		return true
+	case other.Epoch < l.Epoch:
+		// What the other knows was lost: it confirms nothing.
+		return false
+	case other.Revision > l.Revision && other.Checksum != l.sum:
 		return true
 	}
-	if other.Revision > l.revision {
-		if other.Checksum != l.sum {
-			return true
-		}
-		l.revision = other.Revision
-	}
+	l.Revision = max(l.Revision, other.Revision)
 	c.confirm(l, complete, now)
 	return false
 }
@@ -279,7 +317,7 @@
 		}
 	}
 	// Objects that came and went before the batch were never seen here.
-	l.horizon, l.revision = b.Revision, b.Revision
+	l.horizon, l.Position = b.Revision, Position{Epoch: b.Epoch, Revision: b.Revision}
 }
 
 // apply adds one change. Changes that the collection already has are left out.
@@ -360,16 +398,17 @@
 			delete(l.objects, name)
 		}
 	}
-	l.tombstones, l.horizon = 0, l.revision
+	l.tombstones, l.horizon = 0, l.Revision
 }
 
-// Changes returns the changes of a collection after a revision, or all objects
+// Changes returns the changes of a collection after a position, or all objects
 // if the changes are not remembered. Warm-ups are those that are left.
-func (c *Catalog) Changes(kind Kind, since uint64, now time.Duration) Batch {
+func (c *Catalog) Changes(kind Kind, since Position, now time.Duration) Batch {
 	l := &c.collections[kind]
-	b := Batch{Whole: since < l.horizon || since == 0, Since: since, Revision: l.revision}
+	b := Batch{Epoch: l.Epoch, Since: since.Revision, Revision: l.Revision, Held: l.held}
+	b.Whole = since.Epoch != l.Epoch || since.Revision < l.horizon || since.Revision == 0
 	for _, o := range l.objects {
-		if b.Whole && !o.Deleted || !b.Whole && o.noted > since {
+		if b.Whole && !o.Deleted || !b.Whole && o.noted > since.Revision {
 			b.Objects = append(b.Objects, o.aged(now))
 		}
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -90,7 +90,7 @@
 
 func contents(c *catalog.Catalog) map[string]uint64 {
 	state := map[string]uint64{}
-	for _, o := range c.Changes(catalog.Targets, 0, 0).Objects {
+	for _, o := range c.Changes(catalog.Targets, catalog.Position{}, 0).Objects {
 		state[o.Name] = o.Revision
 	}
 	return state
@@ -133,9 +133,9 @@
 				other := hosts[(i+1)%3]
 				state := other.State(catalog.Targets, 0)
 				if c.Confirm(catalog.Targets, state, 0, 0) {
-					since := uint64(0)
+					var since catalog.Position
 					if before.Valid {
-						since = before.Revision
+						since = before.Position()
 					}
 					c.Merge(catalog.Targets, other.Changes(catalog.Targets, since, 0), 0, 0)
 					require.Equal(t, contents(other), contents(c))
@@ -236,7 +236,7 @@
 	c.Merge(catalog.Configurations, catalog.Batch{Whole: true, Revision: 3, Objects: []catalog.Object{{Name: "main", Revision: 3, Configuration: valid}}}, 1, 1)
 	c.Merge(catalog.Configurations, catalog.Batch{Since: 3, Revision: 4, Objects: []catalog.Object{{Name: "main", Revision: 4}}}, 2, 2)
 	require.Equal(t, valid, c.Configuration())
-	other.Merge(catalog.Configurations, c.Changes(catalog.Configurations, 0, 3), 3, 3)
+	other.Merge(catalog.Configurations, c.Changes(catalog.Configurations, catalog.Position{}, 3), 3, 3)
 	require.Equal(t, valid, other.Configuration())
 }
 
@@ -272,13 +272,13 @@
 	members := c.TargetEntries(2000 * time.Second)
 	// One left each second, and the retention includes both its ends.
 	require.Len(t, members, 2+61)
-	b := c.Changes(catalog.Targets, 2, 0)
+	b := c.Changes(catalog.Targets, catalog.Position{Revision: 2}, 0)
 	require.True(t, b.Whole)
 	require.Len(t, b.Objects, 2)
 	lagging.Merge(catalog.Targets, b, 1, 1)
 	require.Equal(t, contents(c), contents(lagging))
-	require.False(t, c.Changes(catalog.Targets, revision-4, 0).Whole)
-	require.Len(t, c.Changes(catalog.Targets, revision-4, 0).Objects, 4)
+	require.False(t, c.Changes(catalog.Targets, catalog.Position{Revision: revision - 4}, 0).Whole)
+	require.Len(t, c.Changes(catalog.Targets, catalog.Position{Revision: revision - 4}, 0).Objects, 4)
 }
 
 // fill returns a catalog with so many targets.
--- a/internal/catalog/listing_test.go
+++ b/internal/catalog/listing_test.go
@@ -122,9 +122,9 @@
 			if !h.catalog.Confirm(catalog.Targets, state, now, now) {
 				return
 			}
-			since := uint64(0)
+			var since catalog.Position
 			if own := h.catalog.State(catalog.Targets, now); own.Valid {
-				since = own.Revision
+				since = own.Position()
 			}
 			h.catalog.Merge(catalog.Targets, from.catalog.Changes(catalog.Targets, since, now), now, now)
 		}
@@ -158,7 +158,7 @@
 		}
 		for i, h := range hosts {
 			got := map[string]uint64{}
-			for _, o := range h.catalog.Changes(catalog.Targets, 0, now).Objects {
+			for _, o := range h.catalog.Changes(catalog.Targets, catalog.Position{}, now).Objects {
 				got[o.Name] = o.Revision
 			}
 			require.Equal(t, want, got, "host %d", i)
--- a/internal/catalog/poller.go
+++ b/internal/catalog/poller.go
@@ -141,7 +141,7 @@
 		return Call{}, false
 	}
 	age, valid := c.Age(a.kind, now)
-	call := Call{Kind: a.kind, Since: c.collections[a.kind].revision}
+	call := Call{Kind: a.kind, Epoch: c.collections[a.kind].Epoch, Since: c.collections[a.kind].Revision}
 	a.empty = !valid
 	if valid && !a.lost {
 		// Another host was faster than the list.
@@ -201,6 +201,11 @@
 	if a.listed == noListing || started < a.listed {
 		return Batch{}, 0, false
 	}
+	if call.After != "" && b.Epoch != a.pages.Epoch {
+		// The first pages are of a state that the store has lost.
+		a.pages, a.listed = Batch{}, noListing
+		return Batch{}, 0, false
+	}
 	if call.After == "" {
 		// Later pages may hold newer objects, whose changes a watch repeats.
 		a.pages.Epoch, a.pages.Revision = b.Epoch, b.Revision
--- a/internal/catalog/poller_test.go
+++ b/internal/catalog/poller_test.go
@@ -185,7 +185,7 @@
 		require.Equal(t, uint64(100), b.Revision, "a watch from here repeats what later pages missed")
 		c.Merge(catalog.Targets, b, complete, now)
 	}
-	require.Len(t, c.Changes(catalog.Targets, 0, now).Objects, pages)
+	require.Len(t, c.Changes(catalog.Targets, catalog.Position{}, now).Objects, pages)
 }
 
 // Guards against a list that mixes pages from before and after a gap longer than
--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -46,8 +46,8 @@
 	Born int64 `json:"born,omitempty"`
 }
 
-// sameEntry reports whether two copies of an entry are equal. Hosts send what is left of a
-// warm-up.
+// sameEntry reports whether two copies of an entry say the same. Hosts send what is left of
+// a warm-up.
 func (t *Target) sameEntry(other *Target) bool {
 	a, b := *t, *other
 	a.Warmup, b.Warmup = 0, 0
@@ -60,12 +60,7 @@
 
 // Configuration returns the configuration in force; nil if none is known.
 func (c *Catalog) Configuration() *Configuration {
-	for _, o := range c.collections[Configurations].objects {
-		if !o.Deleted && o.Configuration != nil {
-			return o.Configuration
-		}
-	}
-	return nil
+	return c.collections[Configurations].configuration()
 }
 
 // TargetEntry is a target with what the catalog knows of its life.
--- a/internal/catalog/warmup_test.go
+++ b/internal/catalog/warmup_test.go
@@ -30,7 +30,7 @@
 	require.Equal(t, 2*time.Second, cold(one, learned))
 	require.Equal(t, 500*time.Millisecond, cold(one, learned+1500*time.Millisecond))
 	later := learned + 1200*time.Millisecond
-	other.Merge(catalog.Targets, one.Changes(catalog.Targets, 0, later), later, later)
+	other.Merge(catalog.Targets, one.Changes(catalog.Targets, catalog.Position{}, later), later, later)
 	require.Equal(t, 500*time.Millisecond, cold(other, learned+1500*time.Millisecond))
 	require.Zero(t, cold(one, learned+3*time.Second))
 	require.Zero(t, cold(other, learned+3*time.Second))
--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -33,6 +33,19 @@
 type Question struct {
 	Kind  uint8
 	Since uint64
+	// Epoch is that of Since. KnowsEpochs is set by hosts that know epochs; the
+	// others count on the revision alone.
+	Epoch       uint64
+	KnowsEpochs bool
+}
+
+// Position returns the position after which the changes are wanted, for a host that
+// answers in an epoch.
+func (q Question) Position(epoch uint64) catalog.Position {
+	if q.KnowsEpochs {
+		epoch = q.Epoch
+	}
+	return catalog.Position{Epoch: epoch, Revision: q.Since}
 }
 
 // Reply is the answer to a Question.
@@ -48,7 +61,7 @@
 // ChangeProvider answers the questions of other hosts. It is called from several
 // goroutines.
 type ChangeProvider interface {
-	Changes(kind catalog.Kind, since uint64) (batch catalog.Batch, age time.Duration, err error)
+	Changes(kind catalog.Kind, q Question) (batch catalog.Batch, age time.Duration, err error)
 }
 
 // Server answers the questions of other hosts.
@@ -61,7 +74,8 @@
 	admissions [catalog.KindCount]Admission
 	// encoded holds the last whole batch of each collection.
 	encoded [catalog.KindCount]struct {
-		revision uint64
+		position catalog.Position
+		held     *catalog.Configuration
 		data     []byte
 	}
 }
@@ -148,7 +162,7 @@
 			return nil
 		}
 	}
-	batch, age, err := s.server.answerer.Changes(catalog.Kind(q.Kind), q.Since)
+	batch, age, err := s.server.answerer.Changes(catalog.Kind(q.Kind), q)
 	if err != nil {
 		return err
 	}
@@ -208,15 +222,15 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	last := &s.encoded[kind]
-	if last.data != nil && last.revision == b.Revision {
+	last, position := &s.encoded[kind], catalog.Position{Epoch: b.Epoch, Revision: b.Revision}
+	if last.data != nil && last.position == position && last.held == b.Held {
 		return last.data, nil
 	}
 	data, err := encode(b)
 	if err != nil {
 		return nil, err
 	}
-	last.revision, last.data = b.Revision, data
+	last.position, last.held, last.data = position, b.Held, data
 	return data, nil
 }
 
@@ -250,19 +264,20 @@
 // Fetch asks the host at an address for changes. Each call has a connection of
 // its own: changes are rare, and an old connection may have gone silent. The
 // error is ErrBusy if the host is busy.
-func Fetch(ctx context.Context, address string, kind catalog.Kind, since uint64) (FetchResult, error) {
+func Fetch(ctx context.Context, address string, kind catalog.Kind, since catalog.Position) (FetchResult, error) {
 	dialer := net.Dialer{Timeout: connectLimit}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return FetchResult{}, errors.Wrap(err, "connecting to a host")
 	}
 	silence := silenceLimit
-	if since == 0 {
+	if since.Revision == 0 {
 		silence = queueSilenceLimit
 	}
 	client := rpc.NewClient(patientConnection{connection, silence})
+	question := Question{Kind: uint8(kind), Since: since.Revision, Epoch: since.Epoch, KnowsEpochs: true}
 	var reply Reply
-	err = client.Call(serviceName+".Changes", Question{Kind: uint8(kind), Since: since}, &reply)
+	err = client.Call(serviceName+".Changes", question, &reply)
 	if closing := client.Close(); err == nil && closing != nil && !errors.Is(closing, rpc.ErrShutdown) {
 		err = closing
 	}
--- a/internal/gossip/changes_test.go
+++ b/internal/gossip/changes_test.go
@@ -24,9 +24,9 @@
 	err   error
 }
 
-func (a *answers) Changes(kind catalog.Kind, since uint64) (catalog.Batch, time.Duration, error) {
+func (a *answers) Changes(kind catalog.Kind, q gossip.Question) (catalog.Batch, time.Duration, error) {
 	b := a.batch
-	b.Since = since
+	b.Since = q.Since
 	return b, time.Second + time.Duration(kind), a.err
 }
 
@@ -63,7 +63,7 @@
 			return untilClosed(err)
 		})
 	}()
-	fetched, err := gossip.Fetch(context.Background(), l.Addr().String(), catalog.Targets, 5)
+	fetched, err := gossip.Fetch(context.Background(), l.Addr().String(), catalog.Targets, catalog.Position{Revision: 5})
 	require.NoError(t, err)
 	require.Equal(t, uint64(9), fetched.Batch.Revision)
 	require.NoError(t, l.Close())
@@ -85,20 +85,20 @@
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(l, untilClosed) }()
 	address := l.Addr().String()
-	fetched, err := gossip.Fetch(context.Background(), address, catalog.Targets, 5)
+	fetched, err := gossip.Fetch(context.Background(), address, catalog.Targets, catalog.Position{Revision: 5})
 	require.NoError(t, err)
 	require.Equal(t, time.Second+time.Duration(catalog.Targets), fetched.Age)
 	want := a.batch
 	want.Since = 5
 	require.Equal(t, want, fetched.Batch)
-	_, err = gossip.Fetch(context.Background(), address, catalog.KindCount, 5)
+	_, err = gossip.Fetch(context.Background(), address, catalog.KindCount, catalog.Position{Revision: 5})
 	require.ErrorContains(t, err, "unknown collection")
 	a.err = errors.New("no catalog yet")
-	_, err = gossip.Fetch(context.Background(), address, catalog.Targets, 5)
+	_, err = gossip.Fetch(context.Background(), address, catalog.Targets, catalog.Position{Revision: 5})
 	require.ErrorContains(t, err, "no catalog yet")
 	require.NoError(t, l.Close())
 	require.NoError(t, <-done)
-	_, err = gossip.Fetch(context.Background(), address, catalog.Targets, 5)
+	_, err = gossip.Fetch(context.Background(), address, catalog.Targets, catalog.Position{Revision: 5})
 	require.ErrorContains(t, err, "connecting")
 }
 
@@ -124,7 +124,7 @@
 	require.NoError(t, err)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(l, untilClosed) }()
-	fetched, err := gossip.Fetch(context.Background(), l.Addr().String(), catalog.Targets, 0)
+	fetched, err := gossip.Fetch(context.Background(), l.Addr().String(), catalog.Targets, catalog.Position{})
 	require.NoError(t, err)
 	require.Equal(t, batch, fetched.Batch)
 	require.Less(t, fetched.Size, 40*count)
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -54,7 +54,8 @@
 	if !own.Valid {
 		return promised && !other.Valid
 	}
-	return !other.Valid || own.Revision > other.Revision && own.Checksum != other.Checksum ||
+	return !other.Valid || own.Epoch > other.Epoch ||
+		own.Position().Compare(other.Position()) > 0 && own.Checksum != other.Checksum ||
 		other.Age-own.Age > Interval.Milliseconds()
 }
 
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -89,9 +89,9 @@
 	complete := f.now - time.Duration(state.Age)*time.Millisecond
 	if to.catalog.Confirm(catalog.Targets, state, complete, f.now) {
 		own := to.catalog.State(catalog.Targets, f.now)
-		since := own.Revision
+		since := own.Position()
 		if !own.Valid {
-			since = 0
+			since = catalog.Position{}
 		}
 		to.catalog.Merge(catalog.Targets, from.catalog.Changes(catalog.Targets, since, f.now), complete, f.now)
 		return
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -253,7 +253,7 @@
 			}
 			bytes := float64(s.targets) * sentBytes
 			way := max(s.carry(&source.sending, bytes, hostLink), s.carry(&h.receiving, bytes, hostLink))
-			b := source.catalog.Changes(catalog.Targets, 0, s.now)
+			b := source.catalog.Changes(catalog.Targets, catalog.Position{}, s.now)
 			s.at(way, func() {
 				source.admission.Release(h.Address, true, s.now)
 				s.at(time.Duration(s.targets)*decodeItem, func() {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -62,8 +62,9 @@
 	shown viewBasis
 	// reachable is the last outcome of a call to the store.
 	reachable, called bool
-	// epoch is that of the store's last answer.
-	epoch uint64
+	// restarting is set for a collection of which another host has a later epoch: all of
+	// its objects are fetched.
+	restarting [catalog.KindCount]bool
 }
 
 // newControl returns the control state of a node that runs until the context ends.
@@ -230,13 +231,15 @@
 		outcome = catalog.HistoryGone
 	case err != nil:
 		outcome = catalog.Failed
+	case !call.List && batch.Epoch != call.Epoch:
+		// The store has given the revision out again: changes before it may be missing.
+		outcome = catalog.HistoryGone
 	}
 	c.node.metrics.called(call.Kind, outcome)
 	var complete time.Duration
 	taken := false
 	if outcome == catalog.Answered {
 		// An answer that waited through a pause holds from its arrival.
-		c.noteEpoch(call, batch)
 		batch, complete, taken = c.askers[call.Kind].AddAnswer(call, batch, started, now-c.node.pauses.delay(now))
 	}
 	c.noteStore(call, outcome, now-started, err)
@@ -261,18 +264,6 @@
 	c.node.log.Warn(logs.StoreUnreachable, zap.Stringer("collection", call.Kind), zap.Duration("after", after), logs.Cause(err))
 }
 
-// noteEpoch logs that the store came back from an older copy.
-func (c *control) noteEpoch(call catalog.Call, batch catalog.Batch) {
-	if batch.Epoch == c.epoch {
-		return
-	}
-	c.node.log.Warn(logs.StoreRestored, zap.Stringer("collection", call.Kind), zap.Bool("list", call.List),
-		zap.Uint64("since", call.Since), zap.Uint64("revision", batch.Revision), zap.Int("objects", len(batch.Objects)),
-		zap.Uint64("epoch", batch.Epoch), zap.Uint64("known_epoch", c.epoch))
-	c.epoch = batch.Epoch
-	c.node.metrics.storeEpoch.Set(float64(c.epoch))
-}
-
 func (c *control) malformed(kind catalog.Kind, name string, revision uint64, reason error) {
 	c.node.log.Warn(logs.ObjectMalformed, zap.Stringer("collection", kind), zap.String("name", name),
 		zap.Uint64("revision", revision), logs.Cause(reason))
@@ -281,16 +272,18 @@
 // merge adds what the store or another host said, and passes news on at once.
 func (c *control) merge(kind catalog.Kind, batch catalog.Batch, complete time.Duration, source string) {
 	now := c.node.now()
-	_, known := c.catalog.Age(kind, now)
+	known := c.catalog.State(kind, now)
 	switch result := c.catalog.Merge(kind, batch, complete, now); result {
 	case catalog.Changed:
+	case catalog.Restored:
+		c.noteRestored(kind, known, source)
 	case catalog.Unchanged:
 		return
 	default:
 		c.noteLeftOut(kind, batch, result, source)
 		return
 	}
-	if !known {
+	if !known.Valid {
 		// Hosts that started earlier wait for it.
 		c.server.SetReady(kind)
 		c.tell(c.message(now, nil), c.members.TakeHostsLacking(kind, now)...)
@@ -303,7 +296,7 @@
 	c.speak()
 	fields := []zap.Field{
 		zap.String("source", source), zap.Uint64("revision", batch.Revision), zap.Int("objects", len(batch.Objects)),
-		zap.Duration("age", now-complete),
+		zap.Duration("age", now-complete), zap.Uint64("epoch", batch.Epoch),
 	}
 	if kind == catalog.Targets {
 		c.node.log.Info(logs.TargetsChanged, fields...)
@@ -311,18 +304,31 @@
 		return
 	}
 	if configuration != nil {
-		c.node.log.Info(logs.ConfigurationAdopted, append(fields, zap.Uint64("version", configuration.Version))...)
+		c.node.log.Info(logs.ConfigurationAdopted, append(fields, zap.Uint64("version", configuration.Version),
+			zap.Bool("held", c.catalog.State(kind, now).Held > 0))...)
 	}
 }
 
+// noteRestored logs that the objects of a store that came back from an older copy took the
+// place of those that the host had.
+func (c *control) noteRestored(kind catalog.Kind, known catalog.State, source string) {
+	now := c.node.now()
+	state := c.catalog.State(kind, now)
+	c.node.log.Warn(logs.StoreRestored, zap.Stringer("collection", kind), zap.String("source", source),
+		zap.Uint64("epoch", state.Epoch), zap.Uint64("revision", state.Revision),
+		zap.Uint64("known_epoch", known.Epoch), zap.Uint64("known_revision", known.Revision),
+		zap.Int("changes", len(c.catalog.Applied(kind))), zap.Uint64("held_version", state.Held))
+}
+
 // noteLeftOut logs an answer that the catalog did not take.
 func (c *control) noteLeftOut(kind catalog.Kind, batch catalog.Batch, reason catalog.MergeResult, source string) {
 	c.node.metrics.leftOut[kind][reason].Inc()
+	known := c.catalog.State(kind, c.node.now())
 	fields := []zap.Field{
 		zap.Stringer("collection", kind), zap.String("source", source), zap.Stringer("reason", reason),
 		zap.Bool("whole", batch.Whole), zap.Uint64("epoch", batch.Epoch), zap.Uint64("since", batch.Since),
 		zap.Uint64("revision", batch.Revision), zap.Int("objects", len(batch.Objects)),
-		zap.Uint64("known_revision", c.catalog.State(kind, c.node.now()).Revision),
+		zap.Uint64("known_epoch", known.Epoch), zap.Uint64("known_revision", known.Revision),
 	}
 	for i := range batch.Objects {
 		if configuration := batch.Objects[i].Configuration; configuration != nil {
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -100,3 +100,37 @@
 	c.hear(m, c.node.now()-300*time.Millisecond)
 	require.Equal(t, 340*time.Millisecond, targetsAge(c))
 }
+
+// askedStore passes on the calls that it gets, and answers none.
+type askedStore struct{ calls chan catalog.Call }
+
+func (s askedStore) Read(ctx context.Context, call catalog.Call) (catalog.Batch, error) {
+	s.calls <- call
+	<-ctx.Done()
+	return catalog.Batch{}, ctx.Err()
+}
+
+// Guards against a watch that goes on across a restore of the store: the revision that it
+// begins at was given out again, so changes before it may be missing, and its empty answer
+// confirms what was lost.
+func TestWatchAcrossARestoreEndsInAList(t *testing.T) {
+	f := clock.NewFake(time.Unix(1000, 0))
+	c := newTestControl(t, f)
+	store := askedStore{calls: make(chan catalog.Call, catalog.KindCount)}
+	c.store = store
+	asked := func() catalog.Call {
+		for {
+			if call := <-store.calls; call.Kind == catalog.Targets {
+				return call
+			}
+		}
+	}
+	f.Advance(2 * time.Second)
+	c.ask()
+	call := asked()
+	require.Equal(t, catalog.Call{Kind: catalog.Targets, Since: 5, Wait: call.Wait}, call)
+	before := targetsAge(c)
+	c.answered(call, c.node.now(), catalog.Batch{Epoch: 1, Since: 5, Revision: 5}, nil)
+	require.Equal(t, before, targetsAge(c))
+	require.True(t, asked().List)
+}
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -33,9 +33,9 @@
 		c.sources[kind].Done(false, "", started)
 		return
 	}
-	since := uint64(0)
-	if state := c.catalog.State(kind, started); state.Valid {
-		since = state.Revision
+	var since catalog.Position
+	if state := c.catalog.State(kind, started); state.Valid && !c.restarting[kind] {
+		since = state.Position()
 	}
 	go func() {
 		fetched, err := gossip.Fetch(c.context, to.String(), kind, since)
@@ -54,14 +54,15 @@
 		c.node.log.Warn(logs.ChangesNotFetched, zap.Stringer("collection", kind), zap.String("from", address),
 			zap.Duration("after", now-started), logs.Cause(err))
 	default:
+		c.restarting[kind] = false
 		c.merge(kind, f.Batch, started-f.Age, address)
 	}
 	c.fetchDue()
 	c.ask()
 }
 
-// Changes implements gossip.Answerer.
-func (c *control) Changes(kind catalog.Kind, since uint64) (catalog.Batch, time.Duration, error) {
+// Changes implements gossip.ChangeProvider.
+func (c *control) Changes(kind catalog.Kind, q gossip.Question) (catalog.Batch, time.Duration, error) {
 	type answer struct {
 		batch catalog.Batch
 		age   time.Duration
@@ -71,6 +72,7 @@
 	c.do(func() {
 		now := c.node.now()
 		age, valid := c.catalog.Age(kind, now)
+		since := q.Position(c.catalog.State(kind, now).Epoch)
 		answers <- answer{c.catalog.Changes(kind, since, now), age, valid}
 	})
 	select {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,7 +29,8 @@
 	flows         prometheus.Gauge
 	revisions     [catalog.KindCount]prometheus.Gauge
 	leftOut       [catalog.KindCount][catalog.MergeResultCount]prometheus.Counter
-	storeEpoch    prometheus.Gauge
+	epochs        [catalog.KindCount]prometheus.Gauge
+	heldVersion   prometheus.Gauge
 	gossipDropped prometheus.Counter
 	linesRepeated prometheus.Counter
 	decisionTime  prometheus.Histogram
@@ -68,8 +69,11 @@
 	leftOut := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "answers_left_out_total", Help: "Answers of the store and of hosts that were not merged, by reason.",
 	}, []string{"collection", "reason"})
-	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
-		Namespace: namespace, Name: "store_epoch", Help: "Times that the store came back from an older copy, as its last answer counts them.",
+	epochs := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "catalog_epoch", Help: "Times that the store came back from an older copy, as it counts them, of the collection's revision.",
+	}, []string{"collection"})
+	m.heldVersion = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "held_configuration_version", Help: "Version of the configuration that is held against an older one of the store, or 0.",
 	})
 	unexpected := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "unexpected_errors_total", Help: "Errors of sockets and of the program that ended one input only.",
@@ -84,6 +88,7 @@
 	}
 	for kind := range catalog.KindCount {
 		m.ages[kind] = ages.WithLabelValues(kind.String())
+		m.epochs[kind] = epochs.WithLabelValues(kind.String())
 		m.revisions[kind] = revisions.WithLabelValues(kind.String())
 		for result := catalog.OlderRevision; result < catalog.MergeResultCount; result++ {
 			m.leftOut[kind][result] = leftOut.WithLabelValues(kind.String(), result.String())
@@ -92,7 +97,7 @@
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
 		}
 	}
-	m.registry.MustRegister(decisions, calls, ages, revisions, leftOut, m.storeEpoch, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
+	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
 	return m
 }
 
@@ -111,9 +116,12 @@
 	for kind := range catalog.KindCount {
 		if age, valid := c.Age(kind, now); valid {
 			m.ages[kind].Set(age.Seconds())
-			m.revisions[kind].Set(float64(c.State(kind, now).Revision))
+			state := c.State(kind, now)
+			m.epochs[kind].Set(float64(state.Epoch))
+			m.revisions[kind].Set(float64(state.Revision))
 		}
 	}
+	m.heldVersion.Set(float64(c.State(catalog.Configurations, now).Held))
 }
 
 func (m *metrics) handler() http.Handler {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -10,7 +10,9 @@
 
 // viewBasis tells whether a view has to be made again.
 type viewBasis struct {
-	states     [catalog.KindCount]uint64
+	states [catalog.KindCount]struct{ epoch, checksum uint64 }
+	// version is that of the configuration in force, which may be held against the store's.
+	version    uint64
 	departures catalog.Departures
 	hosts      hostCounts
 }
@@ -28,9 +30,10 @@
 		return
 	}
 	defer c.noteReady(now)
-	basis := viewBasis{departures: c.catalog.Departures(now), hosts: c.hosts(now)}
+	basis := viewBasis{version: configuration.Version, departures: c.catalog.Departures(now), hosts: c.hosts(now)}
 	for kind := range basis.states {
-		basis.states[kind] = c.catalog.State(catalog.Kind(kind), now).Checksum
+		state := c.catalog.State(catalog.Kind(kind), now)
+		basis.states[kind].epoch, basis.states[kind].checksum = state.Epoch, state.Checksum
 	}
 	if basis == c.shown {
 		return
