Keep targets that drain or left out of use when the store has older entries

What callers would see: after a restore of the store, new flows go to a target that drains, as the store had acknowledged, until the target writes its state again; and to one that has left, until its entry lapses.

Cause: with the objects of a later epoch hosts also took over entries that are older than what they knew of the targets.

Change: across a restore, an entry is compared by the target's own count of its writes, for the same start of the target. What is not newer than the known drain or departure does not end it: a drain holds until the target writes again or its entry goes, a departure for 5 s, since a live target whose entry had lapsed does not change an entry that is right.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -93,6 +93,9 @@
 	// held is the configuration that was in force when the store came back with an older
 	// one. It stays in force until the store has its version again.
 	held *Configuration
+	// withdrawn holds the targets that drained or had departed when the store came back
+	// with older entries.
+	withdrawn map[string]withdrawal
 	// applied holds the changes of the last merge.
 	applied []Object
 }
@@ -100,6 +103,8 @@
 type departure struct {
 	target *Target
 	at     time.Duration
+	// lost is set if a restored store lacked the entry, which no one had removed.
+	lost bool
 }
 
 // Catalog is the state of all collections. It is not safe for concurrent use.
@@ -135,6 +140,7 @@
 	for i := range c.collections {
 		c.collections[i].objects = map[string]*known{}
 		c.collections[i].departed = map[string]departure{}
+		c.collections[i].withdrawn = map[string]withdrawal{}
 	}
 	for _, o := range options {
 		o(c)
@@ -340,7 +346,7 @@
 		l.tombstones++
 		// A removal of an unknown object was left out above.
 		if old.Target != nil {
-			l.departed[o.Name] = departure{target: old.Target, at: now}
+			l.departed[o.Name] = departure{target: l.lastKnown(old, now), at: now}
 		}
 	} else {
 		if old != nil && old.Deleted {
@@ -390,6 +396,11 @@
 			delete(l.departed, name)
 		}
 	}
+	for name, w := range l.withdrawn {
+		if now-w.at > c.retention {
+			delete(l.withdrawn, name)
+		}
+	}
 	if l.tombstones <= tombstoneLimit {
 		return
 	}
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -2,9 +2,30 @@
 
 import "time"
 
+// staleEntryLimit is the time after a restore of the store for which the entry of a target
+// that had departed counts for nothing unless the target writes it again. An entry that no
+// target writes lapses within it, after three intervals between heartbeats of 1.2 s.
+const staleEntryLimit = 5 * time.Second
+
+// withdrawal is a target that drained or had departed when the store came back with an
+// older entry of it.
+type withdrawal struct {
+	target   Target
+	departed bool
+	// at is the time at which the host learned of the restore.
+	at time.Duration
+}
+
+// covers reports whether an entry says nothing newer than the withdrawal: the target has
+// not written it since. Hosts of earlier builds tell no sequence.
+func (w withdrawal) covers(entry *Target) bool {
+	return entry.Born == w.target.Born && (entry.Sequence <= w.target.Sequence || w.target.Sequence == 0)
+}
+
 // restart puts the objects of a later epoch in the place of all others.
 func (l *collection) restart(b Batch, now time.Duration) {
 	l.held = l.configuration()
+	l.withdraw(now)
 	old := l.objects
 	l.objects, l.sum, l.tombstones = make(map[string]*known, len(b.Objects)), 0, 0
 	l.replace(b, now)
@@ -19,7 +40,7 @@
 			continue
 		}
 		if o.Target != nil {
-			l.departed[name] = departure{target: o.Target, at: now}
+			l.departed[name] = departure{target: o.Target, at: now, lost: true}
 		}
 		l.applied = append(l.applied, Object{Name: name, Revision: b.Revision, Deleted: true})
 	}
@@ -33,10 +54,54 @@
 	if old == nil || old.Deleted || o.Target == nil || old.Target == nil || !o.Target.sameEntry(old.Target) {
 		return false
 	}
-	o.Target, o.learned = old.Target, old.learned
+	target := *old.Target
+	target.Sequence = max(target.Sequence, o.Target.Sequence)
+	o.Target, o.learned = &target, old.learned
 	return true
 }
 
+// withdraw notes the targets that drain or have departed, as far as the host knows.
+func (l *collection) withdraw(now time.Duration) {
+	withdrawn := map[string]withdrawal{}
+	for name, o := range l.objects {
+		if o.Deleted || o.Target == nil {
+			continue
+		}
+		if w, stale := l.staleEntry(o, now); stale {
+			w.at = now
+			withdrawn[name] = w
+		} else if o.Target.Draining {
+			withdrawn[name] = withdrawal{target: *o.Target, at: now}
+		}
+	}
+	for name, d := range l.departed {
+		if d.lost {
+			continue
+		}
+		withdrawn[name] = withdrawal{target: *d.target, departed: true, at: now}
+	}
+	l.withdrawn = withdrawn
+}
+
+// staleEntry returns the withdrawal that outranks the entry of a target. A target that
+// drained does not take it back; one that had departed may live after all, if its entry
+// lapsed while it was cut off from the store, and does not change an entry that is right.
+func (l *collection) staleEntry(o *known, now time.Duration) (withdrawal, bool) {
+	w, found := l.withdrawn[o.Name]
+	if !found || !w.covers(o.Target) || w.departed && now-w.at > staleEntryLimit {
+		return withdrawal{}, false
+	}
+	return w, true
+}
+
+// lastKnown returns the newest that the host knows of a listed target.
+func (l *collection) lastKnown(o *known, now time.Duration) *Target {
+	if w, stale := l.staleEntry(o, now); stale {
+		return &w.target
+	}
+	return o.Target
+}
+
 // configuration returns the configuration in force; nil if none is known.
 func (l *collection) configuration() *Configuration {
 	listed := l.listedConfiguration()
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -136,8 +136,7 @@
 		o.Deleted = true
 	default:
 		require.Contains(t, []string{"ready", "draining"}, state)
-		o.Target = &catalog.Target{Service: "desk", Draining: state == "draining"}
-		require.NotEmpty(t, sequence)
+		o.Target = &catalog.Target{Service: "desk", Draining: state == "draining", Sequence: number(t, sequence)}
 	}
 	return o
 }
@@ -173,8 +172,10 @@
 		switch {
 		case e.Gone:
 			state = "gone"
+		case e.Departed && e.Draining:
+			state = "left"
 		case e.Departed:
-			state = "departed"
+			state = "lapsed"
 		case e.Draining:
 			state = "draining"
 		}
--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -44,13 +44,15 @@
 	// Born is the time of the target's start in milliseconds since 1970; zero if it is
 	// not known. A target that starts again under its name knows nothing of before.
 	Born int64 `json:"born,omitempty"`
+	// Sequence is the target's own count of its writes since its start.
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 // sameEntry reports whether two copies of an entry say the same. Hosts send what is left of
-// a warm-up.
+// a warm-up, and a target may write an entry again without a change.
 func (t *Target) sameEntry(other *Target) bool {
 	a, b := *t, *other
-	a.Warmup, b.Warmup = 0, 0
+	a.Warmup, a.Sequence, b.Warmup, b.Sequence = 0, 0, 0, 0
 	return a == b
 }
 
@@ -77,6 +79,9 @@
 // Departures sums up what the time changes about targets that are not listed.
 type Departures struct {
 	Departed, Gone int
+	// Withdrawn counts the listed targets whose entries are older than what the host
+	// knows of them.
+	Withdrawn int
 	// Complete is set if a target that is neither listed nor departed has ended.
 	Complete bool
 }
@@ -91,6 +96,13 @@
 			d.Gone++
 		}
 	}
+	for name := range l.withdrawn {
+		if o := l.objects[name]; o != nil && !o.Deleted && o.Target != nil {
+			if _, stale := l.staleEntry(o, now); stale {
+				d.Withdrawn++
+			}
+		}
+	}
 	return d
 }
 
@@ -111,9 +123,14 @@
 	l := &c.collections[Targets]
 	members := make([]TargetEntry, 0, len(l.objects)+len(l.departed))
 	for name, o := range l.objects {
-		if !o.Deleted && o.Target != nil {
-			members = append(members, TargetEntry{Target: *o.Target, Name: name, WarmUpRemaining: o.cold(now)})
+		if o.Deleted || o.Target == nil {
+			continue
+		}
+		entry := TargetEntry{Target: *o.Target, Name: name, WarmUpRemaining: o.cold(now)}
+		if w, stale := l.staleEntry(o, now); stale {
+			entry.Draining, entry.Departed = w.target.Draining, w.departed
 		}
+		members = append(members, entry)
 	}
 	for name, d := range l.departed {
 		members = append(members, TargetEntry{Target: *d.target, Name: name, Departed: true, Gone: c.gone(l, name, now)})
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -317,7 +317,8 @@
 	c.node.log.Warn(logs.StoreRestored, zap.Stringer("collection", kind), zap.String("source", source),
 		zap.Uint64("epoch", state.Epoch), zap.Uint64("revision", state.Revision),
 		zap.Uint64("known_epoch", known.Epoch), zap.Uint64("known_revision", known.Revision),
-		zap.Int("changes", len(c.catalog.Applied(kind))), zap.Uint64("held_version", state.Held))
+		zap.Int("changes", len(c.catalog.Applied(kind))), zap.Uint64("held_version", state.Held),
+		zap.Int("withdrawn_targets", c.catalog.Departures(now).Withdrawn))
 }
 
 // noteLeftOut logs an answer that the catalog did not take.
