Base a change on the revision in force if the platform has an older head

What callers saw: after the request plane's platform came back from an older copy, an operator was told that a change was applied, and no host put it into force; the changes that the copy lacked were lost to hosts that start.

The change was computed on the copy's head and got a revision that had been given out; hosts keep the higher revision, also the one that had committed.

Change: a head never goes back by a change, so a host that reads one older than what it has in force takes the latter as the base. The number is not given out again, and segments that the platform lost are created again.

Remains: a host that does not yet know the last revision before the restore can still give its number out again; audit entries that the platform lost stay lost.

--- a/internal/configuration/commit_plan.go
+++ b/internal/configuration/commit_plan.go
@@ -11,7 +11,14 @@
 // prepare computes the change on the head. It returns the read of a segment
 // or chunk, a report, or nil if the plan is ready.
 func (c *Commit) prepare(now time.Time) []CommitAction {
-	if missing := c.known.missing(c.head.Index, c.objects); len(missing) > 0 {
+	index := c.head.Index
+	if c.known.Revision() > index.Revision {
+		// A head never goes back by a change: the platform came back from an older copy.
+		// The revision in force is the base, so that it stays in force and its number is
+		// not given out again.
+		index = c.known.Index()
+	}
+	if missing := c.known.missing(index, c.objects); len(missing) > 0 {
 		return c.send(CommitAction{Kind: CommitReadObject, Key: missing[0].Key()})
 	}
 	overflow, merged := c.head.overflow()
@@ -20,7 +27,7 @@
 			return c.send(CommitAction{Kind: CommitReadObject, Key: merged.Key()})
 		}
 	}
-	base, err := c.known.assemble(c.head.Index, c.objects)
+	base, err := c.known.assemble(index, c.objects)
 	if err != nil {
 		return c.report(CommitResult{Status: CommitNotApplied, Reason: err.Error()})
 	}
@@ -106,7 +113,12 @@
 	p.head.Audit = append(slices.Clone(c.head.Audit[len(overflow):]), entry)
 	p.head.AuditChunks = slices.Clone(c.head.AuditChunks)
 	var obsolete []string
-	for _, r := range base.index.Services {
+	named := base.index.Services
+	if base.Revision() != c.head.Revision {
+		p.createLost(base, c.head.Services)
+		named = unionOf(named, c.head.Services)
+	}
+	for _, r := range named {
 		if !kept[r.Key()] {
 			obsolete = append(obsolete, r.Key())
 		}
@@ -124,6 +136,27 @@
 	return nil
 }
 
+// createLost writes the segments of the base again that the head does not name: a platform
+// that came back from an older copy has lost them.
+func (p *commitPlan) createLost(base *State, listed []SegmentReference) {
+	for _, r := range p.head.Services {
+		if value, held := base.segments[r.Digest]; held && !slices.Contains(listed, r) {
+			p.creates = append(p.creates, CommitAction{Kind: CommitCreateObject, Key: r.Key(), Value: value})
+		}
+	}
+}
+
+// unionOf returns the references of two revisions, each once.
+func unionOf(one, other []SegmentReference) []SegmentReference {
+	list := slices.Clone(one)
+	for _, r := range other {
+		if !slices.Contains(one, r) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // planDeletes deletes obsolete objects after their grace time: at least eight,
 // or half of them, so that the list shrinks after a change of many services.
 func (p *commitPlan) planDeletes(listed []ObsoleteObject, added []string, now time.Time) {
