--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -276,6 +276,7 @@
 	switch result := c.catalog.Merge(kind, batch, complete, now); result {
 	case catalog.Changed:
 	case catalog.Restored:
+		c.restarting[kind] = false
 		c.noteRestored(kind, known, source)
 	case catalog.Unchanged:
 		return
