Count answers of an earlier epoch instead of failing on them

What operators would see: unexpected_error at a host that gets an answer from before a restore of the store, after which it forgets what it knows and learns it anew.

Cause: the counters of answers that are left out were made from the reason older_revision on; older_epoch, added later before it, had none.

Change: the catalog says which results leave a batch out, and the metrics and the log go by that. A target's entry across a restore is taken over in smaller steps, with names that say what they do.

Evidence: TestAnswersLeftOutAreLoggedAndCounted ends in a panic with the former condition and passes now.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -210,6 +210,9 @@
 // String returns the name of the result in logs and metrics.
 func (r MergeResult) String() string { return mergeResultNames[r] }
 
+// LeftOut reports whether the catalog did not take the batch's objects.
+func (r MergeResult) LeftOut() bool { return r >= OlderEpoch }
+
 // Merge adds a batch that was complete at a time. A batch that the catalog can't connect
 // to what it has is left out, and so is everything older than it. Only a whole batch leads
 // to a later epoch, since the revisions of changes can't be connected across epochs.
@@ -242,7 +245,7 @@
 	case l.valid && b.Epoch < l.Epoch:
 		return OlderEpoch
 	case b.Whole && l.valid && b.Epoch > l.Epoch:
-		l.restart(b, now)
+		l.enterEpoch(b, now)
 		return Restored
 	case b.Whole && (!l.valid || b.Revision > l.Revision):
 		l.replace(b, now)
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -22,35 +22,39 @@
 	return entry.Born == w.target.Born && (entry.Sequence <= w.target.Sequence || w.target.Sequence == 0)
 }
 
-// restart puts the objects of a later epoch in the place of all others.
-func (l *collection) restart(b Batch, now time.Duration) {
+// enterEpoch puts the objects of a later epoch in the place of all others.
+func (l *collection) enterEpoch(b Batch, now time.Duration) {
 	l.held = l.configuration()
 	l.withdraw(now)
 	old := l.objects
 	l.objects, l.sum, l.tombstones = make(map[string]*known, len(b.Objects)), 0, 0
 	l.replace(b, now)
+	// Of all objects that replace has applied, only some differ from those before.
 	l.applied = l.applied[:0]
 	for name, o := range l.objects {
-		if !o.resume(old[name]) {
+		if !o.inherit(old[name]) {
 			l.applied = append(l.applied, o.Object)
 		}
 	}
 	for name, o := range old {
-		if renewed := l.objects[name]; o.Deleted || renewed != nil && (o.Target == nil || renewed.Target != nil) {
+		if o.Deleted {
 			continue
 		}
-		if o.Target != nil {
+		renewed := l.objects[name]
+		if renewed == nil {
+			l.applied = append(l.applied, Object{Name: name, Revision: b.Revision, Deleted: true})
+		}
+		if o.Target != nil && (renewed == nil || renewed.Target == nil) {
 			l.departed[name] = departure{target: o.Target, at: now, lost: true}
 		}
-		l.applied = append(l.applied, Object{Name: name, Revision: b.Revision, Deleted: true})
 	}
 	// Entries of live targets that the copy lacks are back soon.
 	l.settled = now
 }
 
-// resume goes on with what the host knows of an object if the restored store has the same.
-// A warm-up goes on, and does not start anew.
-func (o *known) resume(old *known) bool {
+// inherit takes over what the host knows of a target if the restored store has the same
+// entry, so that its warm-up does not start anew. It reports whether the entry is the same.
+func (o *known) inherit(old *known) bool {
 	if old == nil || old.Deleted || o.Target == nil || old.Target == nil || !o.Target.sameEntry(old.Target) {
 		return false
 	}
--- a/internal/gossip/changes_test.go
+++ b/internal/gossip/changes_test.go
@@ -112,7 +112,7 @@
 		key := random.Uint64N(1 << 40)
 		batch.Objects = append(batch.Objects, catalog.Object{
 			Name: fmt.Sprintf("i-%010x", key), Revision: 1<<39 + uint64(i), Target: &catalog.Target{
-				Key: key, Sequence: uint64(i % 5000), Service: "rounds-desk", DataCentre: []string{"reykjavik-a", "keflavik-c"}[i%2], Slots: 2,
+				Key: key, Sequence: uint64(i), Service: "rounds-desk", DataCentre: []string{"reykjavik-a", "keflavik-c"}[i%2], Slots: 2,
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 8687),
 			},
 		})
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -62,9 +62,9 @@
 	shown viewBasis
 	// reachable is the last outcome of a call to the store.
 	reachable, called bool
-	// restarting is set for a collection of which another host has a later epoch: all of
+	// epochChanged is set for a collection of which another host has a later epoch: all of
 	// its objects are fetched.
-	restarting [catalog.KindCount]bool
+	epochChanged [catalog.KindCount]bool
 }
 
 // newControl returns the control state of a node that runs until the context ends.
@@ -273,16 +273,15 @@
 func (c *control) merge(kind catalog.Kind, batch catalog.Batch, complete time.Duration, source string) {
 	now := c.node.now()
 	known := c.catalog.State(kind, now)
-	switch result := c.catalog.Merge(kind, batch, complete, now); result {
-	case catalog.Changed:
-	case catalog.Restored:
-		c.restarting[kind] = false
-		c.noteRestored(kind, known, source)
-	case catalog.Unchanged:
-		return
-	default:
+	switch result := c.catalog.Merge(kind, batch, complete, now); {
+	case result.LeftOut():
 		c.noteLeftOut(kind, batch, result, source)
 		return
+	case result == catalog.Unchanged:
+		return
+	case result == catalog.Restored:
+		c.epochChanged[kind] = false
+		c.noteRestored(kind, known, source)
 	}
 	if !known.Valid {
 		// Hosts that started earlier wait for it.
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -9,9 +9,14 @@
 	"oriolevalve/internal/catalog"
 	"oriolevalve/internal/clock"
 	"oriolevalve/internal/gossip"
+	"oriolevalve/internal/logs"
 	"oriolevalve/internal/settings"
 
+	dto "github.com/prometheus/client_model/go"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // noStore answers no call.
@@ -134,3 +139,31 @@
 	require.Equal(t, before, targetsAge(c))
 	require.True(t, asked().List)
 }
+
+// Guards against an answer that is left out without a line and a count, or ends in an
+// unexpected error, after which the host would forget all that it knows.
+func TestAnswersLeftOutAreLoggedAndCounted(t *testing.T) {
+	c := newTestControl(t, clock.NewFake(time.Unix(1000, 0)))
+	core, observed := observer.New(zapcore.InfoLevel)
+	c.node.log = zap.New(core)
+	now := c.node.now()
+	listed := func(slots int) []catalog.Object {
+		return []catalog.Object{{Name: "i-01", Revision: 6, Target: &catalog.Target{Key: 1, Slots: slots}}}
+	}
+	c.merge(catalog.Targets, catalog.Batch{Whole: true, Epoch: 1, Revision: 8, Objects: listed(2)}, now, "store")
+	for reason, batch := range map[catalog.MergeResult]catalog.Batch{
+		catalog.OlderEpoch:    {Whole: true, Revision: 9},
+		catalog.OlderRevision: {Whole: true, Epoch: 1, Revision: 7, Objects: listed(2)},
+		catalog.Disconnected:  {Epoch: 1, Since: 9, Revision: 9},
+		catalog.Conflicting:   {Whole: true, Epoch: 1, Revision: 8, Objects: listed(3)},
+	} {
+		observed.TakeAll()
+		c.merge(catalog.Targets, batch, now, "store")
+		lines := observed.FilterMessage(logs.AnswerLeftOut).All()
+		require.Len(t, lines, 1, reason)
+		require.Equal(t, reason.String(), lines[0].ContextMap()["reason"])
+		var counted dto.Metric
+		require.NoError(t, c.node.metrics.leftOut[catalog.Targets][reason].Write(&counted))
+		require.Equal(t, 1.0, counted.GetCounter().GetValue(), reason)
+	}
+}
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -34,7 +34,7 @@
 		return
 	}
 	var since catalog.Position
-	if state := c.catalog.State(kind, started); state.Valid && !c.restarting[kind] {
+	if state := c.catalog.State(kind, started); state.Valid && !c.epochChanged[kind] {
 		since = state.Position()
 	}
 	go func() {
@@ -54,7 +54,7 @@
 		c.node.log.Warn(logs.ChangesNotFetched, zap.Stringer("collection", kind), zap.String("from", address),
 			zap.Duration("after", now-started), logs.Cause(err))
 	default:
-		c.restarting[kind] = false
+		c.epochChanged[kind] = false
 		c.merge(kind, f.Batch, started-f.Age, address)
 	}
 	c.fetchDue()
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -140,7 +140,7 @@
 		kind, state := catalog.Kind(i), m.States[i]
 		complete := heard - time.Duration(state.Age)*time.Millisecond
 		if c.catalog.Confirm(kind, state, complete, now) {
-			c.restarting[kind] = c.restarting[kind] || state.Epoch > c.catalog.State(kind, now).Epoch
+			c.epochChanged[kind] = c.epochChanged[kind] || state.Epoch > c.catalog.State(kind, now).Epoch
 			c.sources[kind].AddSource(m.From.Address, now)
 			continue
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -90,8 +90,10 @@
 		m.ages[kind] = ages.WithLabelValues(kind.String())
 		m.epochs[kind] = epochs.WithLabelValues(kind.String())
 		m.revisions[kind] = revisions.WithLabelValues(kind.String())
-		for result := catalog.OlderRevision; result < catalog.MergeResultCount; result++ {
-			m.leftOut[kind][result] = leftOut.WithLabelValues(kind.String(), result.String())
+		for result := range catalog.MergeResultCount {
+			if result.LeftOut() {
+				m.leftOut[kind][result] = leftOut.WithLabelValues(kind.String(), result.String())
+			}
 		}
 		for outcome, name := range outcomeNames {
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
