--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -192,56 +192,53 @@
 // "HOST watch EPOCH:SINCE-REVISION OBJECT...", "HOST hears HOST", and "HOST shows".
 func TestRestores(t *testing.T) {
 	golden.Run(t, "testdata/restore/*/input", func(t *testing.T, input []byte) string {
-		var out strings.Builder
-		kind, now := scriptKind(input), time.Duration(0)
-		hosts := map[string]*catalog.Catalog{}
-		for line := range strings.Lines(string(input)) {
-			words := strings.Fields(line)
-			if len(words) == 0 || words[0] == "#" {
-				continue
-			}
-			fmt.Fprintln(&out, strings.TrimSpace(line))
+		kind, hosts := scriptKind(input), map[string]*catalog.Catalog{}
+		return golden.Script(t, input, func(words []string, now time.Duration, out *strings.Builder) {
 			if words[0] == "at" {
-				var err error
-				now, err = time.ParseDuration(words[1])
-				require.NoError(t, err)
-				continue
+				return
 			}
 			if hosts[words[0]] == nil {
 				hosts[words[0]] = catalog.New()
 			}
-			c := hosts[words[0]]
-			result := "shows"
+			c, result := hosts[words[0]], "shows"
 			switch words[1] {
 			case "list", "watch":
-				epoch, revisions, _ := strings.Cut(words[2], ":")
-				b := catalog.Batch{Whole: words[1] == "list", Epoch: number(t, epoch)}
-				if since, revision, found := strings.Cut(revisions, "-"); found {
-					b.Since, b.Revision = number(t, since), number(t, revision)
-				} else {
-					b.Revision = number(t, revisions)
-				}
-				for _, word := range words[3:] {
-					b.Objects = append(b.Objects, parseObject(t, word))
-				}
-				result = c.Merge(kind, b, now, now).String()
+				result = c.Merge(kind, parseBatch(t, words[1:]), now, now).String()
 			case "hears":
-				other := hosts[words[2]]
-				state := other.State(kind, now)
-				complete := now - time.Duration(state.Age)*time.Millisecond
-				result = "not behind"
-				if own := c.State(kind, now); c.Confirm(kind, state, complete, now) {
-					result = "behind, " + c.Merge(kind, other.Changes(kind, own.Position(), now), complete, now).String()
-				}
+				result = hear(c, hosts[words[2]], kind, now)
 			default:
 				require.Equal(t, "shows", words[1])
 			}
-			fmt.Fprintf(&out, "  %s: %s\n", result, describe(c, kind, now))
-		}
-		return out.String()
+			fmt.Fprintf(out, "  %s: %s\n", result, describe(c, kind, now))
+		})
 	})
 }
 
+// parseBatch reads the words of an answer of the store.
+func parseBatch(t *testing.T, words []string) catalog.Batch {
+	epoch, revisions, _ := strings.Cut(words[1], ":")
+	b := catalog.Batch{Whole: words[0] == "list", Epoch: number(t, epoch)}
+	if since, revision, found := strings.Cut(revisions, "-"); found {
+		b.Since, b.Revision = number(t, since), number(t, revision)
+	} else {
+		b.Revision = number(t, revisions)
+	}
+	for _, word := range words[2:] {
+		b.Objects = append(b.Objects, parseObject(t, word))
+	}
+	return b
+}
+
+// hear passes the state of another host to one, which fetches what it lacks.
+func hear(c, other *catalog.Catalog, kind catalog.Kind, now time.Duration) string {
+	state, own := other.State(kind, now), c.State(kind, now)
+	complete := now - time.Duration(state.Age)*time.Millisecond
+	if !c.Confirm(kind, state, complete, now) {
+		return "not behind"
+	}
+	return "behind, " + c.Merge(kind, other.Changes(kind, own.Position(), now), complete, now).String()
+}
+
 // Guards against a list that joins pages from before a restore of the store with pages from
 // after it: a target that the store lost would be listed beside the new ones.
 func TestPagesOfTwoEpochsAreNotJoined(t *testing.T) {
--- a/internal/gossip/changes_test.go
+++ b/internal/gossip/changes_test.go
@@ -47,6 +47,21 @@
 	return l.Listener.Accept()
 }
 
+// serve starts a server that has all targets and returns its address.
+func serve(t *testing.T, a *answers) string {
+	server := gossip.NewServer(a, clock.System{})
+	server.SetReady(catalog.Targets)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l, untilClosed) }()
+	t.Cleanup(func() {
+		require.NoError(t, l.Close())
+		require.NoError(t, <-done)
+	})
+	return l.Addr().String()
+}
+
 // Guards against a server that ends, and its process with it, because a caller was
 // gone when its connection was accepted or because descriptors ran out.
 func TestServerOutlivesFailedConnections(t *testing.T) {
@@ -117,19 +132,10 @@
 			},
 		})
 	}
-	a := &answers{batch: batch}
-	server := gossip.NewServer(a, clock.System{})
-	server.SetReady(catalog.Targets)
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(l, untilClosed) }()
-	fetched, err := gossip.Fetch(context.Background(), l.Addr().String(), catalog.Targets, catalog.Position{})
+	fetched, err := gossip.Fetch(context.Background(), serve(t, &answers{batch: batch}), catalog.Targets, catalog.Position{})
 	require.NoError(t, err)
 	require.Equal(t, batch, fetched.Batch)
 	require.Less(t, fetched.Size, 40*count)
-	require.NoError(t, l.Close())
-	require.NoError(t, <-done)
 }
 
 // Guards against a message that makes a host answer to somebody else, or take what it
--- a/internal/gossip/epoch_test.go
+++ b/internal/gossip/epoch_test.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"encoding/gob"
-	"net"
 	"testing"
 
 	"oriolevalve/internal/catalog"
-	"oriolevalve/internal/clock"
 	"oriolevalve/internal/gossip"
 
 	"github.com/fxamacker/cbor/v2"
@@ -70,18 +68,11 @@
 // revision of the restored store is equal.
 func TestEncodedCollectionIsOfItsEpoch(t *testing.T) {
 	a := &answers{}
-	server := gossip.NewServer(a, clock.System{})
-	server.SetReady(catalog.Targets)
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(l, untilClosed) }()
+	address := serve(t, a)
 	for epoch := range uint64(3) {
 		a.batch = catalog.Batch{Whole: true, Epoch: epoch, Revision: 9, Objects: []catalog.Object{{Name: "t", Revision: epoch + 1}}}
-		fetched, err := gossip.Fetch(t.Context(), l.Addr().String(), catalog.Targets, catalog.Position{})
+		fetched, err := gossip.Fetch(t.Context(), address, catalog.Targets, catalog.Position{})
 		require.NoError(t, err)
 		require.Equal(t, a.batch, fetched.Batch)
 	}
-	require.NoError(t, l.Close())
-	require.NoError(t, <-done)
 }
--- a/internal/gossip/script_test.go
+++ b/internal/gossip/script_test.go
@@ -14,34 +14,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-// script plays the lines of an input. "at" sets the time; the others are left to
-// the function, which writes what they do.
-func script(t *testing.T, input []byte, play func(words []string, now time.Duration, out *strings.Builder)) string {
-	var out strings.Builder
-	var now time.Duration
-	for line := range strings.Lines(string(input)) {
-		words := strings.Fields(line)
-		if len(words) == 0 || words[0] == "#" {
-			continue
-		}
-		fmt.Fprintln(&out, strings.TrimSpace(line))
-		if words[0] == "at" {
-			var err error
-			now, err = time.ParseDuration(words[1])
-			require.NoError(t, err)
-		}
-		play(words, now, &out)
-	}
-	return out.String()
-}
-
 // Guards against askers that wait for ever or all ask one host, and against a
 // host that sends its collection to all of them at once.
 func TestAdmission(t *testing.T) {
 	golden.Run(t, "testdata/admission/*/input", func(t *testing.T, input []byte) string {
 		var a gossip.Admission
 		names := map[gossip.Decision]string{gossip.Send: "send", gossip.Redirect: "redirect"}
-		return script(t, input, func(words []string, now time.Duration, out *strings.Builder) {
+		return golden.Script(t, input, func(words []string, now time.Duration, out *strings.Builder) {
 			enter := func(address string) {
 				a.Enqueue(address, now, func(v gossip.Decision, redirect string) {
 					fmt.Fprintln(out, strings.TrimRight(fmt.Sprint("  ", address, ": ", names[v], " ", redirect), " "))
@@ -72,7 +51,7 @@
 func TestSources(t *testing.T) {
 	golden.Run(t, "testdata/sources/*/input", func(t *testing.T, input []byte) string {
 		s := gossip.NewSources(rand.New(rand.NewPCG(1, 2)))
-		return script(t, input, func(words []string, now time.Duration, out *strings.Builder) {
+		return golden.Script(t, input, func(words []string, now time.Duration, out *strings.Builder) {
 			switch words[0] {
 			case "offer":
 				s.AddSource(words[1], now)
