--- a/internal/configuration/commit.go
+++ b/internal/configuration/commit.go
@@ -64,6 +64,8 @@
 	creates     []CommitAction
 	segments    []string
 	deletes     []ObsoleteObject
+	// reason says that the plan writes again what the platform has lost.
+	reason string
 }
 
 // NewCommit returns a commit of an operation. The known state spares reading
@@ -123,7 +125,7 @@
 	case c.update != nil:
 		if e.Kind == CommitDone {
 			return c.report(CommitResult{
-				Status: CommitApplied, Revision: c.plan.head.Revision,
+				Status: CommitApplied, Revision: c.plan.head.Revision, Reason: c.plan.reason,
 				Differences: c.plan.differences, State: c.plan.state,
 			})
 		}
--- a/internal/configuration/commit_plan.go
+++ b/internal/configuration/commit_plan.go
@@ -116,6 +116,8 @@
 	named := base.index.Services
 	if base.Revision() != c.head.Revision {
 		p.createLost(base, c.head.Services)
+		p.reason = fmt.Sprintf("the platform had revision %d, older than revision %d in force, which is written again",
+			c.head.Revision, base.Revision())
 		named = unionOf(named, c.head.Services)
 	}
 	for _, r := range named {
--- a/internal/configuration/restore_test.go
+++ b/internal/configuration/restore_test.go
@@ -58,6 +58,7 @@
 	}
 	store = copied
 	result := commitChange(t, store, committer.State(), "id-4", declare("audits", 4))
+	require.Contains(t, result.Reason, "revision 1, older than revision 3")
 	committer.Handle(configuration.SyncEvent{Now: epoch, Kind: configuration.SyncCommitted, State: result.State})
 	readHead(other, store)
 	fresh := configuration.NewSyncer()
