Begin a broken watch with the object as it is

Cause: same class as the incident, in the request plane. A watch compares for inequality with the last version that was seen; a platform that comes back from an older copy may give that version to another head, which the watch then does not report until the next change.

Change: a watch that broke begins anew, at the cost of one value.

Packet hosts do not use it.

--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -12,7 +12,8 @@
 
 // Follow watches an object from the given version on and passes each version
 // that it sees to the handler, until the context ends. A watch that breaks or
-// goes silent is replaced by a new one; the failure goes to the second handler.
+// goes silent is replaced by a new one, which begins with the object as it is; the
+// failure goes to the second handler.
 func Follow(
 	ctx context.Context, client Client, c clock.Clock, key string, version uint64,
 	changed func(Object), failed func(error),
@@ -28,6 +29,8 @@
 			return
 		}
 		failed(err)
+		// A platform that came back from an older copy may give the version out again.
+		version = 0
 		select {
 		case <-ctx.Done():
 		case <-c.After(retryInterval):
