Count a missing target as gone only by an answer of the store

What clients saw: flows were reset although their targets lived, when the store came back from a copy without their entries and fell silent again.

Cause: a target is gone if its entry is still missing 2.5 s after the store is back.

Change: the time is counted to the last confirmation of the collection. In calm times this changes nothing; after an outage or a restore a target counts as gone later by the age of what is known.

Evidence: the case target_missing_as_the_store_falls_silent of TestRestores gives 'gone' 1.8 s after the last answer on the commit before and 'lapsed' now; it is gone once an answer shows it.

--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -107,9 +107,9 @@
 }
 
 // settled reports whether the entries of live targets are back since the last
-// gap in the confirmations.
+// gap in the confirmations, as far as the collection is confirmed.
 func (c *Catalog) settled(l *collection, now time.Duration) bool {
-	return l.valid && now-l.settled > returnLimit && now-l.confirmed <= c.gapLimit
+	return l.valid && l.confirmed-l.settled > returnLimit && now-l.confirmed <= c.gapLimit
 }
 
 func (c *Catalog) gone(l *collection, name string, now time.Duration) bool {
