--- a/review/2/main.go
+++ b/review/2/main.go
@@ -83,7 +83,7 @@
 	if trouble {
 		err = change(f)
 	} else {
-		time.Sleep(playTime / 4)
+		time.Sleep(playTime)
 	}
 	close(ended)
 	workers.Wait()
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -36,6 +36,8 @@
 	// calmTime exceeds contactMs.
 	calmTime = 6 * time.Second
 	rounds   = 4
+	// playTime is that of the rounds.
+	playTime = rounds * (noticeTime + cutTime + calmTime + darkTime + harness.ContactTime)
 )
 
 var address = netip.MustParseAddrPort("198.18.0.1:443")
@@ -83,7 +85,7 @@
 	if trouble {
 		err = p.disturb()
 	} else {
-		time.Sleep(calmTime)
+		time.Sleep(playTime)
 	}
 	close(p.ended)
 	group.Wait()
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -30,6 +30,8 @@
 	lossTime  = 5500 * time.Millisecond
 	rounds    = 5
 	calmTime  = 3 * time.Second
+	// playTime is that of the rounds, with three restarts of about 2.5 s in each.
+	playTime = rounds * (lossTime + harness.ContactTime + 7500*time.Millisecond)
 )
 
 var address = netip.MustParseAddrPort("198.18.0.1:443")
@@ -78,7 +80,7 @@
 	if trouble {
 		err = p.disturb()
 	} else {
-		time.Sleep(5 * calmTime)
+		time.Sleep(playTime)
 	}
 	close(p.ended)
 	group.Wait()
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -53,6 +53,7 @@
 	address   string
 	directory string
 	ended     chan struct{}
+	closing   sync.Once
 	mutex     sync.Mutex
 	targets   []*Target
 	number    uint64
@@ -110,6 +111,9 @@
 		}
 		f.Hosts = append(f.Hosts, h)
 	}
+	fleets.mutex.Lock()
+	fleets.list = append(fleets.list, f)
+	fleets.mutex.Unlock()
 	return f, nil
 }
 
@@ -163,8 +167,24 @@
 	return nil
 }
 
-// Close ends all processes and removes the files.
-func (f *Fleet) Close() {
+// fleets holds the fleets of the process, so that a run that is stopped ends their processes.
+var fleets struct {
+	mutex sync.Mutex
+	list  []*Fleet
+}
+
+func closeFleets() {
+	fleets.mutex.Lock()
+	defer fleets.mutex.Unlock()
+	for _, f := range fleets.list {
+		f.Close()
+	}
+}
+
+// Close ends all processes and removes the files. It does so once.
+func (f *Fleet) Close() { f.closing.Do(f.close) }
+
+func (f *Fleet) close() {
 	close(f.ended)
 	for _, h := range f.Hosts {
 		h.stop(syscall.SIGKILL)
@@ -232,6 +252,11 @@
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	select {
+	case <-h.fleet.ended:
+		return errors.Join(errors.New("the fleet has been closed"), log.Close())
+	default:
+	}
 	command := exec.Command(program)
 	command.Env = []string{"ORIOLEVALVE_CONFIG=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	command.Stdout, command.Stderr = log, log
