Refuse a flow at a target that has ended only after news of the targets

Cause: a host that counted a target as ended reset an open flow of the target's next life under the same identifier until it heard of it. An unknown tag was remembered by tag, so a later flow at the same tag was reset on the strength of an earlier one. Change: a packet of a flow that another host opened is dropped at first, whether its target is unknown or counts as ended, and refused once the targets were confirmed after the flow's own first packet. Flows that the host itself saw end with their target are refused at once, as before.

--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -78,9 +78,9 @@
 	// it did, and sharedNew those to be reported.
 	shared, sharedBefore map[SharedIdentity]bool
 	sharedNew            []SharedIdentity
-	// unknown holds the times of the first packets with tags that no target has, unreadable
-	// the tags of entries that can't be read.
-	unknown    map[uint32]time.Duration
+	// unlisted holds the flows at targets that are not listed, unreadable the tags of entries
+	// that can't be read.
+	unlisted   map[Flow]unlistedFlow
 	unreadable map[uint32]bool
 	// contested holds the open flows whose tags may mislead, contestedNew those to be told.
 	contested    map[Flow]contestedFlow
@@ -98,7 +98,7 @@
 		random: random, flows: map[Flow]*flowRecord{}, targets: map[TargetKey]*targetRecord{},
 		tags: map[uint32]*targetRecord{}, services: map[string]*service{}, dataCentres: map[string]*dataCentreRecord{},
 		shared: map[SharedIdentity]bool{}, sharedBefore: map[SharedIdentity]bool{},
-		unknown: map[uint32]time.Duration{}, unreadable: map[uint32]bool{}, contested: map[Flow]contestedFlow{},
+		unlisted: map[Flow]unlistedFlow{}, unreadable: map[uint32]bool{}, contested: map[Flow]contestedFlow{},
 	}
 }
 
@@ -297,7 +297,7 @@
 	}
 	f.seen = now
 	if f.target.State == Gone {
-		p.forget(k.Flow, f)
+		p.endUnlisted(k.Flow, f)
 		if k.RST {
 			return Decision{Action: Drop, Reason: ReasonTargetGone}
 		}
@@ -332,17 +332,16 @@
 	if own := p.contestedTarget(k); own != nil && own != t {
 		t, reason = own, ReasonContested
 	}
-	if t == nil {
-		return p.followUnknown(now, k, route)
-	}
 	switch {
+	case t == nil:
+		return p.followUnlisted(now, k, p.view.complete && route != nil && !p.unreadable[k.Tag], "")
 	case t.State == Unnamed && route != nil:
 		// Another writer's entry leads to no target, and the flow's own may live.
 		return Decision{Action: Drop, Reason: ReasonTargetUnknown}
 	case t.State == Gone && k.RST:
 		return Decision{Action: Drop, Reason: ReasonTargetGone}
 	case t.State == Gone:
-		return Decision{Action: Refuse, Reason: ReasonTargetGone, Name: t.Name}
+		return p.followUnlisted(now, k, true, t.Name)
 	case route == nil:
 		// The host that opened the flow may know a newer configuration.
 		return forward(t, ReasonRouteUnknown)
@@ -460,7 +459,7 @@
 func (p *Plane) Sweep(now time.Duration) {
 	p.measure()
 	p.reconsiderDataCentres(now)
-	p.forgetUnknown(now)
+	p.forgetUnlisted(now)
 	p.forgetContested(now)
 	if len(p.sweep) == 0 {
 		for key := range p.flows {
--- a/internal/packet/terminated.go
+++ b/internal/packet/terminated.go
@@ -27,6 +27,10 @@
 		p.endings = append(p.endings, TerminatedFlow{
 			Packet: Packet{Flow: key, Acknowledgement: f.acknowledged}, Reason: reason, Name: f.target.Name,
 		})
+		if reason == ReasonTargetGone {
+			p.endUnlisted(key, f)
+			continue
+		}
 		p.forget(key, f)
 	}
 }
