Read the health path and the warm-up rate of services

What cold targets bear and where targets answer questions about their health stand in the configuration.

--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -10,11 +10,36 @@
 	Version  uint64   `json:"version"`
 	Routes   []Route  `json:"routes"`
 	Services []string `json:"services"`
+	// ServiceSpecs describe the services that have more than a name.
+	ServiceSpecs []ServiceSpec `json:"service_specs,omitempty"`
 	// FlowIdle is the time in milliseconds after which a silent flow may be
 	// discarded; zero if the configuration sets none.
 	FlowIdle int64 `json:"flow_idle_ms"`
 }
 
+// ServiceSpec describes a service.
+type ServiceSpec struct {
+	Name string `json:"name"`
+	// HealthPath is the path that a target of the service answers with its health.
+	HealthPath string `json:"health_path,omitempty"`
+	// WarmUpRate is the number of new flows a second that a cold target bears; zero if the
+	// configuration gives none.
+	WarmUpRate float64 `json:"warm_up_rate,omitempty"`
+}
+
+// Described reports whether the service has more than a name.
+func (s ServiceSpec) Described() bool { return s.HealthPath != "" || s.WarmUpRate > 0 }
+
+// Spec returns the description of a service.
+func (c *Configuration) Spec(service string) ServiceSpec {
+	for _, s := range c.ServiceSpecs {
+		if s.Name == service {
+			return s
+		}
+	}
+	return ServiceSpec{Name: service}
+}
+
 // Route sends the new flows of a service address to services.
 type Route struct {
 	Name     string         `json:"name"`
