--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -80,7 +80,7 @@
 	sharedNew            []SharedIdentity
 	// unlisted holds the flows at targets that are not listed, unreadable the tags of entries
 	// that can't be read.
-	unlisted   map[Flow]unlistedFlow
+	unlisted   map[unlistedKey]unlistedFlow
 	unreadable map[uint32]bool
 	// contested holds the open flows whose tags may mislead, contestedNew those to be told.
 	contested    map[Flow]contestedFlow
@@ -98,7 +98,7 @@
 		random: random, flows: map[Flow]*flowRecord{}, targets: map[TargetKey]*targetRecord{},
 		tags: map[uint32]*targetRecord{}, services: map[string]*service{}, dataCentres: map[string]*dataCentreRecord{},
 		shared: map[SharedIdentity]bool{}, sharedBefore: map[SharedIdentity]bool{},
-		unlisted: map[Flow]unlistedFlow{}, unreadable: map[uint32]bool{}, contested: map[Flow]contestedFlow{},
+		unlisted: map[unlistedKey]unlistedFlow{}, unreadable: map[uint32]bool{}, contested: map[Flow]contestedFlow{},
 	}
 }
 
--- a/internal/packet/unlisted.go
+++ b/internal/packet/unlisted.go
@@ -15,6 +15,12 @@
 // ConfirmTargets notes that the view's targets were all that were listed at a time.
 func (p *Plane) ConfirmTargets(at time.Duration) { p.confirmed = max(p.confirmed, at) }
 
+// unlistedKey names a flow at a target that is not listed, and the tag that its client returns.
+type unlistedKey struct {
+	flow Flow
+	tag  uint32
+}
+
 // unlistedFlow is a flow at a target that is not listed.
 type unlistedFlow struct {
 	// first is the time of its first packet since then. ended is set if the flow was known here
@@ -28,7 +34,7 @@
 // next life, earlier than this one, so the target has ended only if it was not listed after the
 // flow's first such packet. Until then the client repeats.
 func (p *Plane) followUnlisted(now time.Duration, k *Packet, certain bool, name string) Decision {
-	if !p.confirmedSince(now, k.Flow) || !certain {
+	if !p.confirmedSince(now, unlistedKey{k.Flow, k.Tag}) || !certain {
 		return Decision{Action: Drop, Reason: ReasonTargetUnknown, Name: name}
 	}
 	if k.RST {
@@ -39,10 +45,10 @@
 
 // confirmedSince reports whether the targets were confirmed after the first packet of a flow at a
 // target that is not listed, or the flow was known to end with its target.
-func (p *Plane) confirmedSince(now time.Duration, flow Flow) bool {
-	u, found := p.unlisted[flow]
+func (p *Plane) confirmedSince(now time.Duration, key unlistedKey) bool {
+	u, found := p.unlisted[key]
 	if !found && len(p.unlisted) < unlistedLimit {
-		p.unlisted[flow] = unlistedFlow{first: now}
+		p.unlisted[key] = unlistedFlow{first: now}
 	}
 	return found && (u.ended || p.confirmed-u.first > newsDelay)
 }
@@ -51,15 +57,15 @@
 func (p *Plane) endUnlisted(key Flow, f *flowRecord) {
 	p.forget(key, f)
 	if len(p.unlisted) < unlistedLimit {
-		p.unlisted[key] = unlistedFlow{first: f.seen, ended: true}
+		p.unlisted[unlistedKey{key, f.target.Key.Tag()}] = unlistedFlow{first: f.seen, ended: true}
 	}
 }
 
 // forgetUnlisted forgets flows whose first such packet came long ago.
 func (p *Plane) forgetUnlisted(now time.Duration) {
-	for flow, u := range p.unlisted {
+	for key, u := range p.unlisted {
 		if now-u.first > unlistedMemory {
-			delete(p.unlisted, flow)
+			delete(p.unlisted, key)
 		}
 	}
 }
