Evacuate data centres: no new flows to their targets while a request holds

Messages of hosts that do not follow it stay as they were, byte for byte. New flows, copies of openings and later tries avoid the targets of an evacuated data centre; a service without others refuses with the reason evacuated. A restored store neither lifts nor renews a request for the retention time.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,5 +1,5 @@
-// Package catalog holds what a host knows of the configuration and the targets:
-// each with the revision of the platform's store up to which it is complete and
+// Package catalog holds what a host knows of the configuration, the targets and the
+// evacuations of data centres: each with the revision of the platform's store up to which it is complete and
 // the time at which that was last confirmed. It merges answers of the store
 // with news of other hosts and decides when the host asks the store itself. It
 // has no sockets and reads no clock.
@@ -20,10 +20,12 @@
 const (
 	Configurations Kind = iota
 	Targets
+	// Evacuations are the data centres whose targets are to get no new flows, by their names.
+	Evacuations
 	KindCount
 )
 
-var kindNames = [KindCount]string{"configuration", "targets"}
+var kindNames = [KindCount]string{"configuration", "targets", "evacuations"}
 
 // String returns the name of the collection in logs and metrics.
 func (k Kind) String() string { return kindNames[k] }
@@ -54,6 +56,8 @@
 	// Held is the configuration that another host holds against an older one of the
 	// store; nil if it holds none.
 	Held *Configuration
+	// HeldEvacuations are those that another host holds although the store lacks them.
+	HeldEvacuations []HeldEvacuation
 	// Next is the name after which the next page starts; empty on the last page
 	// and for all batches that are no pages.
 	Next string
@@ -98,6 +102,8 @@
 	// withdrawn holds the targets that drained or had departed when the store came back
 	// with older entries.
 	withdrawn map[string]withdrawal
+	// evacuations is what the host knows of each evacuation, by data centre.
+	evacuations map[string]*evacuationRecord
 	// applied holds the changes of the last merge.
 	applied []Object
 }
@@ -143,6 +149,7 @@
 		c.collections[i].objects = map[string]*known{}
 		c.collections[i].departed = map[string]departure{}
 		c.collections[i].withdrawn = map[string]withdrawal{}
+		c.collections[i].evacuations = map[string]*evacuationRecord{}
 	}
 	for _, o := range options {
 		o(c)
@@ -163,6 +170,9 @@
 	// Held is the version of the configuration that the host holds against an older one of
 	// the store; zero if it holds none.
 	Held uint64 `cbor:"6,keyasint,omitempty"`
+	// Missing is set if the host follows the collection and does not have it yet. Only the
+	// states of Evacuations have it, which some hosts do not follow.
+	Missing bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Position returns the position up to which the collection is complete.
@@ -226,6 +236,9 @@
 	if result != Disconnected && result != OlderEpoch {
 		l.valid = true
 		l.release()
+		if kind == Evacuations {
+			c.noteEvacuations(b, result == Restored, first, now)
+		}
 		c.confirm(l, complete, now)
 		c.forget(l, now)
 	}
@@ -440,6 +453,9 @@
 func (c *Catalog) Changes(kind Kind, since Position, now time.Duration) Batch {
 	l := &c.collections[kind]
 	b := Batch{Epoch: l.Epoch, Since: since.Revision, Revision: l.Revision, Held: l.held}
+	if kind == Evacuations {
+		b.HeldEvacuations = l.heldEvacuations(now)
+	}
 	b.Whole = since.Epoch != l.Epoch || since.Revision < l.horizon || since.Revision == 0
 	for _, o := range l.objects {
 		if b.Whole && !o.Deleted || !b.Whole && o.noted > since.Revision {
--- a/internal/commands/node_status.go
+++ b/internal/commands/node_status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"oriolevalve/internal/node"
@@ -67,6 +68,9 @@
 	w.row("takes packets:", fmt.Sprint(s.Ready))
 	w.row("other hosts alive:", fmt.Sprint(s.Alive))
 	w.row("configuration:", fmt.Sprint(s.Version))
+	if len(s.Evacuated) > 0 {
+		w.row("evacuated data centres:", strings.Join(s.Evacuated, ", "))
+	}
 	w.row("")
 	w.row("COLLECTION", "REVISION", "AGE", "RANK")
 	for _, l := range s.Collections {
--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -217,7 +217,8 @@
 // encode returns the bytes of a batch. Those of a whole collection serve all who
 // ask for it until it changes.
 func (s *Server) encode(kind catalog.Kind, b catalog.Batch) ([]byte, error) {
-	if !b.Whole || b.Since != 0 {
+	// How long evacuations are held changes all the time.
+	if !b.Whole || b.Since != 0 || len(b.HeldEvacuations) > 0 {
 		return encode(b)
 	}
 	s.mutex.Lock()
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -64,16 +64,16 @@
 type Message struct {
 	From Host `cbor:"1,keyasint"`
 	// Leaving is set if the sender is stopping.
-	Leaving  bool                             `cbor:"2,keyasint,omitempty"`
-	States   [catalog.KindCount]catalog.State `cbor:"3,keyasint"`
-	Contacts []Contact                        `cbor:"4,keyasint,omitempty"`
+	Leaving  bool      `cbor:"2,keyasint,omitempty"`
+	States   States    `cbor:"3,keyasint"`
+	Contacts []Contact `cbor:"4,keyasint,omitempty"`
 	// Answer is set on the answer to a message, which gets no answer itself.
 	Answer bool `cbor:"5,keyasint,omitempty"`
 	// ListProgress tells of each collection that the sender does not have how much of it
 	// it has read from the store: one more than the number of objects, or zero if it
 	// reads none. RelayedProgress tells the same of a host that the sender heard of.
-	ListProgress    [catalog.KindCount]int `cbor:"6,keyasint,omitempty"`
-	RelayedProgress [catalog.KindCount]int `cbor:"7,keyasint,omitempty"`
+	ListProgress    Progress `cbor:"6,keyasint,omitempty"`
+	RelayedProgress Progress `cbor:"7,keyasint,omitempty"`
 	// Digest tells when hosts were last heard; see Membership.Digest.
 	Digest []byte `cbor:"8,keyasint,omitempty"`
 	// LiveHostCount is the number of live hosts that the sender knows, itself included.
@@ -128,7 +128,7 @@
 	m.hear(k.From, now, k.Leaving)
 	if o := m.members[k.From.ID]; o != nil {
 		for kind := range o.lacking {
-			o.lacking[kind] = !k.States[kind].Valid
+			o.lacking[kind] = k.States.Lacks(catalog.Kind(kind))
 		}
 	}
 	for _, c := range k.Contacts {
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -82,6 +82,7 @@
 	SocketFailed          = "socket_failed"
 	UnexpectedError       = "unexpected_error"
 	ProcessPaused         = "process_paused"
+	EvacuationChanged     = "evacuation_changed"
 )
 
 // Events returns every event name.
@@ -98,6 +99,6 @@
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused, SettingsEntryLeftOut,
 		StoreUnreachable, StoreReachable, StoreAsked, StoreRestored, AnswerLeftOut, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
 		TargetSilent, TargetAnswers, TargetDead, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
-		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed, SocketFailed, UnexpectedError, ProcessPaused,
+		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed, SocketFailed, UnexpectedError, ProcessPaused, EvacuationChanged,
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -113,10 +113,19 @@
 
 // bound returns the bound on the age of a collection.
 func (c *control) bound(kind catalog.Kind) time.Duration {
-	if kind == catalog.Targets {
+	switch kind {
+	case catalog.Targets:
 		return c.settings.TargetsAge.Std()
+	case catalog.Evacuations:
+		return c.settings.EvacuationAge.Std()
+	default:
+		return c.settings.ConfigurationAge.Std()
 	}
-	return c.settings.ConfigurationAge.Std()
+}
+
+// follows reports whether the settings ask for a collection.
+func (c *control) follows(kind catalog.Kind) bool {
+	return kind != catalog.Evacuations || c.settings.EvacuationAge > 0
 }
 
 // run handles tasks until the context ends.
@@ -194,7 +203,10 @@
 // ask makes the calls to the store that are due.
 func (c *control) ask() {
 	now := c.node.now()
-	for _, kind := range []catalog.Kind{catalog.Configurations, catalog.Targets} {
+	for kind := range catalog.KindCount {
+		if !c.follows(kind) {
+			continue
+		}
 		if call, due := c.askers[kind].Next(c.catalog, c.rank(kind, now), c.sources[kind].Expecting(now), now); due {
 			go c.call(call, now)
 		}
@@ -300,12 +312,11 @@
 		zap.String("source", source), zap.Uint64("revision", batch.Revision), zap.Int("objects", len(batch.Objects)),
 		zap.Duration("age", now-complete), zap.Uint64("epoch", batch.Epoch),
 	}
-	if kind == catalog.Targets {
+	switch {
+	case kind == catalog.Targets:
 		c.node.log.Info(logs.TargetsChanged, fields...)
 		c.logTargets(c.catalog.Applied(kind))
-		return
-	}
-	if configuration != nil {
+	case kind == catalog.Configurations && configuration != nil:
 		c.node.log.Info(logs.ConfigurationAdopted, append(fields, zap.Uint64("version", configuration.Version),
 			zap.Bool("held", c.catalog.State(kind, now).Held > 0))...)
 	}
@@ -365,6 +376,9 @@
 func (c *control) noteReady(now time.Duration) {
 	old, oldest := false, time.Duration(0)
 	for kind := range catalog.KindCount {
+		if !c.follows(kind) {
+			continue
+		}
 		age, _ := c.catalog.Age(kind, now)
 		old, oldest = old || age > c.bound(kind), max(oldest, age)
 	}
@@ -390,6 +404,7 @@
 		return
 	}
 	c.settings.ConfigurationAge, c.settings.TargetsAge, c.settings.StopWait = s.ConfigurationAge, s.TargetsAge, s.StopWait
+	c.settings.EvacuationAge = s.EvacuationAge
 	for kind, a := range c.askers {
 		a.SetBound(c.bound(catalog.Kind(kind)))
 	}
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -18,7 +18,7 @@
 // fetchDue starts the fetches from other hosts that are due.
 func (c *control) fetchDue() {
 	now := c.node.now()
-	for _, kind := range []catalog.Kind{catalog.Configurations, catalog.Targets} {
+	for kind := range catalog.KindCount {
 		if address, due := c.sources[kind].Next(now); due {
 			c.fetch(kind, address, now)
 		}
--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -100,6 +100,9 @@
 			n.log.Warn(logs.TargetLeftOut, logs.Text("target", s.Name), logs.Text("service", s.Service), logs.Text("kept", s.Kept),
 				zap.Bool("tag_only", s.TagOnly))
 		}
+		for _, e := range f.plane.EvacuationChanges() {
+			n.logEvacuation(&e, now)
+		}
 	}
 	f.plane.ConfirmTargets(confirmed)
 	for _, news := range n.contested.takeHeard() {
@@ -191,6 +194,7 @@
 	packet.ReasonTargetUnknown:   logs.PacketDropped,
 	packet.ReasonNoConfiguration: logs.PacketDropped,
 	packet.ReasonLate:            logs.PacketDropped,
+	packet.ReasonEvacuated:       logs.FlowRefused,
 }
 
 func (n *Node) logDecision(k *packet.Packet, d *packet.Decision) {
@@ -198,6 +202,9 @@
 	if !found {
 		return
 	}
+	if d.Action == packet.Drop && d.Reason == packet.ReasonEvacuated {
+		event = logs.PacketDropped
+	}
 	copies := zap.Skip()
 	if k.SYN {
 		copies = zap.Uint32("copy", k.Acknowledgement)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -47,8 +47,12 @@
 func (c *control) message(now time.Duration, contacts []gossip.Contact) gossip.Message {
 	m := gossip.Message{From: c.self, Leaving: c.leaving, Contacts: contacts}
 	for kind := range m.States {
+		if !c.follows(catalog.Kind(kind)) {
+			continue
+		}
 		m.States[kind] = c.catalog.State(catalog.Kind(kind), now)
 		if !m.States[kind].Valid {
+			m.States[kind].Missing = catalog.Kind(kind) == catalog.Evacuations
 			m.ListProgress[kind], m.RelayedProgress[kind] = c.askers[kind].ListProgress(), c.sources[kind].RelayedProgress(now)
 		}
 	}
@@ -141,6 +145,9 @@
 	behind := false
 	for i := range m.States {
 		kind, state := catalog.Kind(i), m.States[i]
+		if !c.follows(kind) || !m.States.Follows(kind) {
+			continue
+		}
 		complete := heard - time.Duration(state.Age)*time.Millisecond
 		if c.catalog.Confirm(kind, state, complete, now) {
 			c.epochChanged[kind] = c.epochChanged[kind] || state.Epoch > c.catalog.State(kind, now).Epoch
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -31,6 +31,7 @@
 	leftOut       [catalog.KindCount][catalog.MergeResultCount]prometheus.Counter
 	epochs        [catalog.KindCount]prometheus.Gauge
 	heldVersion   prometheus.Gauge
+	evacuated     prometheus.Gauge
 	gossipDropped prometheus.Counter
 	linesRepeated prometheus.Counter
 	decisionTime  prometheus.Histogram
@@ -75,6 +76,9 @@
 	m.heldVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "held_configuration_version", Help: "Version of the configuration that is held against an older one of the store, or 0.",
 	})
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "evacuated_data_centres", Help: "Data centres whose targets get no new flows by request.",
+	})
 	unexpected := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "unexpected_errors_total", Help: "Errors of sockets and of the program that ended one input only.",
 	}, []string{"part"})
@@ -99,7 +103,7 @@
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
 		}
 	}
-	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
+	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.evacuated, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
 	return m
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -31,6 +31,8 @@
 	Alive       int                `json:"alive"`
 	Version     uint64             `json:"configuration_version"`
 	Collections []CollectionStatus `json:"collections"`
+	// Evacuated are the data centres whose targets get no new flows.
+	Evacuated []string `json:"evacuated_data_centres,omitempty"`
 	// TargetsAge is the age of Targets, which are as of the last packet.
 	TargetsAge int64          `json:"targets_age_ms"`
 	Targets    []TargetStatus `json:"targets"`
@@ -100,6 +102,8 @@
 func targetStatus(t *packet.TargetStatus) TargetStatus {
 	belief := "answers"
 	switch {
+	case t.Evacuated:
+		belief = "evacuated"
 	case t.Dead:
 		belief = "dead"
 	case t.Unreachable:
@@ -124,10 +128,18 @@
 		Alive: c.members.LivePeerCount(now), Version: c.node.metrics.version.Load(),
 	}
 	for kind := range catalog.KindCount {
+		if !c.follows(kind) {
+			continue
+		}
 		state := c.catalog.State(kind, now)
 		s.Collections = append(s.Collections, CollectionStatus{
 			Name: kind.String(), Revision: state.Revision, Age: state.Age, Rank: c.rank(kind, now),
 		})
 	}
+	for _, e := range c.evacuations(now) {
+		if e.Requested {
+			s.Evacuated = append(s.Evacuated, e.DataCentre)
+		}
+	}
 	return s
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -10,11 +10,13 @@
 
 // viewBasis tells whether a view has to be made again.
 type viewBasis struct {
-	states [catalog.KindCount]struct{ epoch, checksum uint64 }
+	states [catalog.Evacuations]struct{ epoch, checksum uint64 }
 	// version is that of the configuration in force, which may be held against the store's.
 	version    uint64
 	departures catalog.Departures
 	hosts      hostCounts
+	// evacuations sums up the evacuations.
+	evacuations string
 }
 
 // hostCounts are the numbers of live hosts that share targets, with this one.
@@ -29,8 +31,14 @@
 	if configuration == nil || !known {
 		return
 	}
+	if !c.knowsEvacuations(now) {
+		return
+	}
 	defer c.noteReady(now)
-	basis := viewBasis{version: configuration.Version, departures: c.catalog.Departures(now), hosts: c.hosts(now)}
+	evacuations := c.evacuations(now)
+	basis := viewBasis{
+		version: configuration.Version, departures: c.catalog.Departures(now), hosts: c.hosts(now), evacuations: evacuationBasis(evacuations),
+	}
 	for kind := range basis.states {
 		state := c.catalog.State(catalog.Kind(kind), now)
 		basis.states[kind].epoch, basis.states[kind].checksum = state.Epoch, state.Checksum
@@ -45,6 +53,7 @@
 		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
 		packet.WithRegions(c.regions), packet.WithCompleteTargets(basis.departures.Complete),
 		packet.WithUnreadableTargets(targetKeys(c.catalog.UnreadableTargets())),
+		packet.WithEvacuated(evacuations),
 	)) == nil
 	if first {
 		close(c.node.prepared)
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -77,12 +77,15 @@
 	// ReasonLate is that of an opening packet which may have waited until its client gave
 	// up or opened the flow elsewhere.
 	ReasonLate
+	// ReasonEvacuated is that of an opening whose service has targets in evacuated data centres
+	// only.
+	ReasonEvacuated
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "placed_again", "copy", "open", "adopted", "contested", "route_unknown", "no_route", "no_target", "not_open",
-	"target_unknown", "target_gone", "target_dead", "no_configuration", "malformed", "late",
+	"target_unknown", "target_gone", "target_dead", "no_configuration", "malformed", "late", "evacuated",
 }
 
 // String returns the name of the reason in logs and metrics.
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -87,6 +87,10 @@
 	contestedNew []ContestedFlow
 	// confirmed is the latest time at which the view's targets were all that were listed.
 	confirmed time.Duration
+	// returns holds the data centres whose targets come back after an evacuation.
+	returns map[string]*dataCentreReturn
+	// evacuationsNew are the changes that were not reported yet.
+	evacuationsNew []EvacuationChange
 	// answered holds the latest opening times of flows that were answered, in
 	// ascending order.
 	answered [deadAnswers]time.Duration
@@ -99,6 +103,7 @@
 		tags: map[uint32]*targetRecord{}, services: map[string]*service{}, dataCentres: map[string]*dataCentreRecord{},
 		shared: map[SharedIdentity]bool{}, sharedBefore: map[SharedIdentity]bool{},
 		unlisted: map[unlistedKey]unlistedFlow{}, unreadable: map[uint32]bool{}, contested: map[Flow]contestedFlow{},
+		returns: map[string]*dataCentreReturn{},
 	}
 }
 
@@ -110,6 +115,7 @@
 
 // SetView replaces the view. Flows and beliefs about targets stay.
 func (p *Plane) SetView(v *View) {
+	p.noteEvacuations(v)
 	p.view = v
 	p.shared, p.sharedBefore = p.sharedBefore, p.shared
 	clear(p.shared)
@@ -172,6 +178,11 @@
 			s = &service{}
 			p.services[t.Service] = s
 		}
+		if p.evacuated(t) {
+			s.evacuated++
+			continue
+		}
+		t.returning = p.returns[t.DataCentre]
 		s.add(t)
 	}
 	for name, s := range p.services {
@@ -226,6 +237,9 @@
 	f := p.flows[k.Flow]
 	if f != nil && f.syn == k.Sequence && f.state != flowClosed {
 		f.seen = now
+		if p.evacuated(f.target) {
+			return p.openElsewhere(now, k, route, f)
+		}
 		if f.state == flowOpen || k.Acknowledgement <= f.copies {
 			return forward(f.target, ReasonCopy)
 		}
@@ -242,7 +256,7 @@
 		if lives {
 			return forward(f.target, ReasonCopy)
 		}
-		next := p.place(now, route, f.target, f.previous)
+		next, _ := p.place(now, route, f.target, f.previous)
 		if next == nil || next == f.target {
 			return forward(f.target, ReasonCopy)
 		}
@@ -251,9 +265,9 @@
 		f.previous, f.placed, f.contested = previous, now, true
 		return forward(next, ReasonPlacedAgain)
 	}
-	target := p.place(now, route, nil, nil)
+	target, reason := p.place(now, route, nil, nil)
 	if target == nil {
-		return Decision{Action: Refuse, Reason: ReasonNoTarget}
+		return Decision{Action: Refuse, Reason: reason}
 	}
 	if f != nil {
 		p.release(f)
@@ -389,18 +403,29 @@
 	}
 }
 
-// place returns a target for a new flow, or nil if the route's service has
+// place returns a target for a new flow, or nil and the reason if the route's service has
 // none. The excluded targets did not answer and are taken only if there is no
 // other.
-func (p *Plane) place(now time.Duration, route *Route, excluded, alsoExcluded *targetRecord) *targetRecord {
+func (p *Plane) place(now time.Duration, route *Route, excluded, alsoExcluded *targetRecord) (*targetRecord, Reason) {
 	s := p.services[p.serviceOf(route)]
 	if s == nil {
-		return nil
+		return nil, ReasonNoTarget
+	}
+	p.drawReturns(now)
+	t := s.place(now, p.random, excluded, alsoExcluded)
+	if p.admitReturns(t == nil || t.avoided(now)) {
+		t = s.place(now, p.random, excluded, alsoExcluded)
 	}
-	if t := s.place(now, p.random, excluded, alsoExcluded); t != nil {
-		return t
+	switch {
+	case t != nil:
+		return t, ReasonPlaced
+	case excluded != nil && !p.evacuated(excluded):
+		return excluded, ReasonCopy
+	case s.evacuated > 0:
+		return nil, ReasonEvacuated
+	default:
+		return nil, ReasonNoTarget
 	}
-	return excluded
 }
 
 // serviceOf draws the service of a new flow by the weights of its route.
--- a/internal/packet/script_test.go
+++ b/internal/packet/script_test.go
@@ -54,6 +54,12 @@
 		Complete bool `json:"complete"`
 		// Unreadable are the names of entries that can't be read.
 		Unreadable []string `json:"unreadable"`
+		// Evacuations are those of data centres. One that was lifted was taken back.
+		Evacuations []struct {
+			DataCentre string `json:"data_centre"`
+			Lifted     bool   `json:"lifted"`
+			Since      int64  `json:"since_ms"`
+		} `json:"evacuations"`
 	} `json:"view"`
 	Packet *struct {
 		Client  string `json:"client"`
@@ -112,9 +118,18 @@
 			for _, name := range v.Unreadable {
 				unreadable = append(unreadable, key(name))
 			}
+			var evacuations []packet.Evacuation
+			for _, e := range v.Evacuations {
+				evacuations = append(evacuations, packet.Evacuation{
+					DataCentre: e.DataCentre, Requested: !e.Lifted, Since: time.Duration(e.Since) * time.Millisecond,
+				})
+			}
 			plane.SetView(packet.NewView(s.DataCentre, routes, targets, packet.WithHosts(max(1, s.Hosts), 1, 1),
-				packet.WithCompleteTargets(v.Complete), packet.WithRegions(s.Regions), packet.WithUnreadableTargets(unreadable)))
+				packet.WithCompleteTargets(v.Complete), packet.WithRegions(s.Regions), packet.WithUnreadableTargets(unreadable), packet.WithEvacuated(evacuations)))
 			fmt.Fprintf(&out, "%dms view: %d routes, %d targets\n", step.At, len(routes), len(targets))
+			for _, e := range plane.EvacuationChanges() {
+				fmt.Fprintf(&out, "%dms evacuation: %s requested=%t, last opening at %s\n", step.At, e.DataCentre, e.Requested, e.LastOpening)
+			}
 			for _, x := range plane.SharedIdentities() {
 				fmt.Fprintf(&out, "%dms left out: %s of %s, beside %s\n", step.At, x.Name, x.Service, x.Kept)
 			}
--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -38,6 +38,9 @@
 type service struct {
 	groups [distanceCount]group
 	lapsed []*targetRecord
+	// evacuated is the number of targets that are left out because their data centres are
+	// evacuated.
+	evacuated int
 	// response is the mean response time of the targets that have one.
 	response time.Duration
 	measured time.Duration
@@ -58,10 +61,11 @@
 		s.groups[i].targets = s.groups[i].targets[:0]
 	}
 	s.lapsed = s.lapsed[:0]
+	s.evacuated = 0
 }
 
 func (s *service) empty() bool {
-	count := len(s.lapsed)
+	count := len(s.lapsed) + s.evacuated
 	for i := range s.groups {
 		count += len(s.groups[i].targets)
 	}
@@ -164,18 +168,25 @@
 	if len(group) == 0 {
 		return best
 	}
-	active, slots, recent := 0, 0, 0.0
+	active, slots, recent, admitted := 0, 0, 0.0, 0
 	offset, count := random.IntN(len(group)), min(len(group), scanLimit)
 	for i := range count {
 		t := group[(offset+i)%len(group)]
+		if !t.admitted() {
+			continue
+		}
 		active += t.active
 		slots += t.Slots
 		recent += t.recentFlows(now)
+		admitted++
+	}
+	if admitted == 0 {
+		return best
 	}
-	bound := recentFree + recentBound*recent/float64(count)
+	bound := recentFree + recentBound*recent/float64(admitted)
 	for i, answering := 0, 0; i < count && answering < limit; i++ {
 		t := group[(offset+i)%len(group)]
-		if t == excluded || t == alsoExcluded {
+		if t == excluded || t == alsoExcluded || !t.admitted() {
 			continue
 		}
 		load, silent := t.load(now, s.response), t.avoided(now)
--- a/internal/packet/status.go
+++ b/internal/packet/status.go
@@ -23,6 +23,8 @@
 	Silence                         time.Duration
 	// WarmingUp is set in the target's warm-up, Dead if flows that may leave it do.
 	WarmingUp, Dead bool
+	// Evacuated is set if the target gets no new flows since its data centre is evacuated.
+	Evacuated bool
 }
 
 // Status returns what the plane knows of each target, by service and name.
@@ -32,7 +34,7 @@
 		s := TargetStatus{
 			Name: t.Name, Service: t.Service, DataCentre: t.DataCentre, State: t.State, OpenFlows: t.open, ActiveFlows: t.active,
 			MeanResponseTime: t.response, Retransmissions: t.repeats, Unanswered: t.unanswered, WarmingUp: now < t.WarmUpEnd, Dead: t.dead && now-t.repeatedAt <= deadRetention,
-			Unreachable: t.unreachable(now), Silent: t.avoided(now),
+			Unreachable: t.unreachable(now), Silent: t.avoided(now), Evacuated: p.evacuated(t),
 		}
 		if t.silentSince != 0 {
 			s.Silence = now - t.silentSince
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -89,6 +89,10 @@
 	// leads to it.
 	entry   *Target
 	ownsTag bool
+	// openedAt is the time of the last new flow; zero if there was none.
+	openedAt time.Duration
+	// returning is set while the targets of an evacuated data centre come back.
+	returning *dataCentreReturn
 }
 
 // startAgain forgets what was learned of the target's former life: its flows are gone,
@@ -154,6 +158,7 @@
 // opened notes a new flow, whose client has a request to make.
 func (t *targetRecord) opened(now time.Duration) {
 	t.recent = t.recentFlows(now) + 1
+	t.openedAt = now
 	t.open++
 	t.active++
 }
--- a/internal/packet/view.go
+++ b/internal/packet/view.go
@@ -32,6 +32,8 @@
 	complete bool
 	// unreadable are the keys of entries that can't be read. Their targets may live.
 	unreadable []TargetKey
+	// evacuations are the data centres that get no new flows, or got none until lately.
+	evacuations map[string]Evacuation
 }
 
 // ViewOption changes a View.
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -33,6 +33,9 @@
 	// configuration and of the targets, while it reaches the store or other hosts.
 	ConfigurationAge duration.Duration `json:"configuration_age"`
 	TargetsAge       duration.Duration `json:"targets_age"`
+	// EvacuationAge is the same bound for the evacuations of data centres. Without it the host
+	// does not follow them.
+	EvacuationAge duration.Duration `json:"evacuation_age"`
 	// FlowLifetime is the time after which a flow may be discarded.
 	FlowLifetime duration.Duration `json:"flow_lifetime"`
 	// LogLevel is "debug", "info", "warn" or "error".
@@ -168,6 +171,9 @@
 	checkDuration(&p, "stop_wait", n.StopWait, 0, time.Minute)
 	checkDuration(&p, "configuration_age", n.ConfigurationAge, 500*time.Millisecond, time.Minute)
 	checkDuration(&p, "targets_age", n.TargetsAge, 500*time.Millisecond, time.Minute)
+	if n.EvacuationAge != 0 {
+		checkDuration(&p, "evacuation_age", n.EvacuationAge, 500*time.Millisecond, time.Minute)
+	}
 	checkDuration(&p, "flow_lifetime", n.FlowLifetime, time.Second, 24*time.Hour)
 	checkLogLevel(&p, n.LogLevel)
 	return p
