--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"oriolevalve/internal/clock"
 	"oriolevalve/internal/duration"
 	"oriolevalve/internal/gossip"
+	"oriolevalve/internal/packet"
 
 	"github.com/stretchr/testify/require"
 )
@@ -108,3 +111,54 @@
 	require.NotNil(t, c.node.view.Load())
 	require.True(t, c.node.ready.Load())
 }
+
+// openings takes each datagram for the opening packet of a flow.
+type openings struct{ flow packet.Flow }
+
+func (o openings) Decode(datagram []byte, k *packet.Packet) bool {
+	*k = packet.Packet{Flow: o.flow, SYN: true, Sequence: uint32(datagram[0])}
+	return true
+}
+func (openings) EnvelopeLength() int                                { return 0 }
+func (openings) Encapsulate([]byte, packet.TargetKey, uint32)       {}
+func (openings) AppendReset(buffer []byte, _ *packet.Packet) []byte { return buffer }
+
+// Guards against an opening that waited in the socket's buffer while the process was paused and
+// is forwarded by a view from before the data centre was evacuated.
+func TestOpeningFromAPauseReachesNoEvacuatedTarget(t *testing.T) {
+	f := clock.NewFake(time.Unix(1000, 0))
+	c := newEvacuationControl(t, f)
+	target, err := listenUDP("127.0.0.3:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, target.Close()) })
+	service := netip.MustParseAddrPort("198.18.0.1:443")
+	c.node.codec = openings{packet.Flow{Client: netip.MustParseAddrPort("127.0.0.4:1000"), Service: service}}
+	c.merge(catalog.Configurations, catalog.Batch{Since: 5, Revision: 6, Objects: []catalog.Object{{Name: "main", Revision: 6, Configuration: &catalog.Configuration{
+		Version: 2, Services: []string{"desk"}, Routes: []catalog.Route{{Address: service, Services: []catalog.Share{{Service: "desk", Weight: 1}}}},
+	}}}}, 0, "store")
+	c.merge(catalog.Targets, catalog.Batch{Since: 5, Revision: 6, Objects: []catalog.Object{{Name: "i-1", Revision: 6, Target: &catalog.Target{
+		Key: 1, Service: "desk", DataCentre: "b", Slots: 2, Address: target.LocalAddr().(*net.UDPAddr).AddrPort(),
+	}}}}, 0, "store")
+	forwarder := newForwarder(c.node, c.socket)
+	sequence := byte(0)
+	// reached reports whether a new flow reaches the target.
+	reached := func() bool {
+		sequence++
+		forwarder.buffer[0] = sequence
+		forwarder.handle(1)
+		require.NoError(t, target.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err := target.Read(make([]byte, 10))
+		return err == nil
+	}
+	f.Advance(tick)
+	c.look()
+	require.True(t, reached())
+	f.Advance(5 * time.Second)
+	require.False(t, reached(), "read before the first look")
+	c.look()
+	require.False(t, reached(), "read after the first look")
+	c.merge(catalog.Evacuations, catalog.Batch{Since: 5, Revision: 7, Objects: []catalog.Object{{Name: "b", Revision: 7}}}, c.node.now(), "store")
+	f.Advance(resumeSpan)
+	c.look()
+	require.False(t, reached(), "evacuated")
+}
