Ask suspected targets themselves, and share the targets that do not answer

With 63 to 295 hosts each sees one or two flows of a target, so nobody gathers the evidence of three flows, and callers of targets that fall dark wait for the entry to lapse after 3.4 s.

--- a/internal/commands/node_status.go
+++ b/internal/commands/node_status.go
@@ -76,13 +76,21 @@
 	w.row("SERVICE", "TARGET", "DATA CENTRE", "STATE", "OPEN", "ACTIVE", "RESPONSE", "BELIEF")
 	for _, t := range s.Targets {
 		if p.all || t.Open > 0 || t.Health != "answers" {
-			w.row(t.Service, t.Name, t.DataCentre, t.State, fmt.Sprint(t.Open), fmt.Sprint(t.Active), milliseconds(t.Response), t.Health)
+			w.row(t.Service, t.Name, t.DataCentre, t.State, fmt.Sprint(t.Open), fmt.Sprint(t.Active), milliseconds(t.Response), belief(&t))
 		}
 	}
 	w.row("")
 	w.row("targets are of", milliseconds(s.TargetsAge), "before")
 }
 
+// belief returns what a host believes of a target, with the last question to it.
+func belief(t *node.TargetStatus) string {
+	if t.Asked == "" {
+		return t.Health
+	}
+	return fmt.Sprintf("%s (asked %s ago: %s)", t.Health, milliseconds(t.AskedAge), t.Asked)
+}
+
 func milliseconds(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
 
 // process asks each host in turn. A host that does not answer is reported at the
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -65,8 +65,9 @@
 
 // Check returns an error if a message can't be that of a host at an address, from which
 // it came: it names another sender, to whom its answer would go, or an age in the
-// future or beyond any life, which would confirm an old collection for long. Contested flows that
-// can't be those of a host are left out, and so are more than a host would tell.
+// future or beyond any life, which would confirm an old collection for long. Contested flows and
+// suspected targets that can't be those of a host are left out, and so are more than a host would
+// tell.
 func (m *Message) Check(source netip.Addr) error {
 	if m.From.Address != source.String() {
 		return errors.Newf("the message names %q as its sender's address", m.From.Address)
@@ -83,6 +84,8 @@
 	}
 	m.Contested = slices.DeleteFunc(m.Contested, func(c ContestedFlow) bool { return !c.valid() })
 	m.Contested = m.Contested[:min(len(m.Contested), contestedAccepted)]
+	m.Suspects = slices.DeleteFunc(m.Suspects, func(s SuspectedTarget) bool { return !s.valid() })
+	m.Suspects = m.Suspects[:min(len(m.Suspects), suspectsAccepted)]
 	return nil
 }
 
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -82,6 +82,8 @@
 	WantedKeys []uint32 `cbor:"10,keyasint,omitempty"`
 	// Contested holds flows whose tags mislead hosts that did not see them open.
 	Contested []ContestedFlow `cbor:"11,keyasint,omitempty"`
+	// Suspects holds targets of which a host asked in vain whether they live.
+	Suspects []SuspectedTarget `cbor:"12,keyasint,omitempty"`
 }
 
 type member struct {
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -62,6 +62,8 @@
 	TargetSilent          = "target_silent"
 	TargetAnswers         = "target_answers"
 	TargetDead            = "target_dead"
+	TargetAsked           = "target_asked"
+	TargetSuspected       = "target_suspected"
 	DataCentreSilent      = "data_centre_silent"
 	DataCentreAnswers     = "data_centre_answers"
 	TargetListed          = "target_listed"
@@ -97,7 +99,7 @@
 		TargetEjected, TargetReturned,
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused, SettingsEntryLeftOut,
 		StoreUnreachable, StoreReachable, StoreAsked, StoreRestored, AnswerLeftOut, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
-		TargetSilent, TargetAnswers, TargetDead, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
+		TargetSilent, TargetAnswers, TargetDead, TargetAsked, TargetSuspected, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed, SocketFailed, UnexpectedError, ProcessPaused,
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -67,6 +67,8 @@
 	epochChanged [catalog.KindCount]bool
 	// contested holds the flows of which the host tells others.
 	contested gossip.ContestedFlows
+	// suspects holds the targets of which the host tells others.
+	suspects gossip.SuspectedTargets
 }
 
 // newControl returns the control state of a node that runs until the context ends.
@@ -153,7 +155,7 @@
 	if c.node.now()-c.reported >= reportInterval {
 		c.reportHosts()
 	}
-	if c.tellContested(c.node.now()) || c.node.now()-c.spoken >= gossip.Interval {
+	if c.tellContested(c.node.now()) || c.tellSuspects(c.node.now()) || c.node.now()-c.spoken >= gossip.Interval {
 		c.speak()
 	}
 }
--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -105,6 +105,7 @@
 	for _, news := range n.contested.takeHeard() {
 		f.plane.AddContestedFlow(news.flow, news.opened)
 	}
+	f.judge(now)
 	if now-f.swept > sweepInterval {
 		f.sweep(now)
 	}
@@ -123,6 +124,9 @@
 		n.logDecision(k, &d)
 	}
 	n.contested.putOpened(f.plane.ContestedFlows())
+	for _, q := range f.plane.Questions(now) {
+		go n.question(q)
+	}
 	for _, b := range f.plane.HealthChanges() {
 		n.logBelief(b)
 	}
@@ -217,8 +221,12 @@
 		return
 	}
 	if b.Dead {
+		if b.QuestionAge > 0 {
+			n.metrics.verdicts.Inc()
+		}
 		n.log.Warn(logs.TargetDead, logs.Text("target", b.Target), logs.Text("data_centre", b.DataCentre), zap.Int("repeats", b.Retransmissions),
-			zap.Int("flows", b.Flows), zap.Bool("opening_unanswered", b.Unanswered), zap.Duration("silence", b.Silence))
+			zap.Int("flows", b.Flows), zap.Bool("opening_unanswered", b.Unanswered), zap.Duration("silence", b.Silence),
+			zap.Stringer("asked", b.Asked), zap.Duration("asked_age", b.QuestionAge), zap.Duration("heard_age", b.HeardAge))
 		return
 	}
 	if !b.Silent {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -41,6 +41,8 @@
 	m.Digest, m.LiveHostCount = c.members.Digest(now), c.members.LiveHostCount(now)
 	c.tellContested(now)
 	m.Contested = c.contested.Next(now)
+	c.tellSuspects(now)
+	m.Suspects = c.suspects.Next(now, m.LiveHostCount)
 	c.tell(m, c.members.Partners(now)...)
 }
 
@@ -138,6 +140,7 @@
 	}
 	c.members.Receive(m, heard)
 	c.hearContested(m, heard)
+	c.hearSuspects(m, heard)
 	behind := false
 	for i := range m.States {
 		kind, state := catalog.Kind(i), m.States[i]
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -35,6 +35,9 @@
 	linesRepeated prometheus.Counter
 	decisionTime  prometheus.Histogram
 	unexpected    [partCount]prometheus.Counter
+	asked         [packet.QuestionOutcomeCount]prometheus.Counter
+	suspectsHeard prometheus.Counter
+	verdicts      prometheus.Counter
 	// version is the configuration in force.
 	version atomic.Uint64
 }
@@ -78,6 +81,18 @@
 	unexpected := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "unexpected_errors_total", Help: "Errors of sockets and of the program that ended one input only.",
 	}, []string{"part"})
+	asked := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "target_questions_total", Help: "Questions to suspected targets by what they showed.",
+	}, []string{"outcome"})
+	for o := range packet.QuestionOutcomeCount {
+		m.asked[o] = asked.WithLabelValues(o.String())
+	}
+	m.verdicts = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "target_verdicts_total", Help: "Targets that came to count as dead because a question to them failed.",
+	})
+	m.suspectsHeard = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "target_suspicions_heard_total", Help: "Failed questions to targets that other hosts told of.",
+	})
 	for p, name := range partNames {
 		m.unexpected[p] = unexpected.WithLabelValues(name)
 	}
@@ -99,7 +114,7 @@
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
 		}
 	}
-	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
+	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected, asked, m.verdicts, m.suspectsHeard)
 	return m
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,9 @@
 	targets      atomic.Pointer[targetReport]
 	// contested passes flows whose tags may mislead between the two goroutines.
 	contested contestedExchange
+	// suspicions passes what is found out about targets between them; health asks targets.
+	suspicions suspicionExchange
+	health     HealthClient
 	// prepared is closed once the first view is published.
 	prepared chan struct{}
 	// finishing is set once the fabric sends no more packets to a stopping node.
--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -29,10 +29,11 @@
 	partChanges
 	partControl
 	partStore
+	partQuestions
 	partCount
 )
 
-var partNames = [partCount]string{"packets", "gossip", "changes", "control", "store"}
+var partNames = [partCount]string{"packets", "gossip", "changes", "control", "store", "questions"}
 
 // recovered ends a panic of a part, so that one unexpected input costs no more than
 // its own outcome. It is deferred. The rebuild replaces state that may be half
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -57,6 +57,10 @@
 	Response   int64  `json:"response_ms"`
 	// Health is "answers" or the reason why new flows avoid the target.
 	Health string `json:"belief"`
+	// Asked is the outcome of the last question to the target itself, AskedAge the time since
+	// it began.
+	Asked    string `json:"asked,omitempty"`
+	AskedAge int64  `json:"asked_age_ms,omitempty"`
 }
 
 // targetReport is what the packet goroutine knew at a time.
@@ -102,18 +106,27 @@
 	switch {
 	case t.Dead:
 		belief = "dead"
+	case t.DeadByQuestion:
+		belief = "dead_when_asked"
 	case t.Unreachable:
 		belief = "data_centre_silent"
 	case t.Silent && t.Unanswered:
 		belief = "opening_unanswered"
 	case t.Silent:
 		belief = "data_repeated"
+	case t.Suspected:
+		belief = "suspected_by_others"
 	case t.WarmingUp:
 		belief = "warming_up"
 	}
+	asked := ""
+	if t.AskedAge > 0 {
+		asked = t.Asked.String()
+	}
 	return TargetStatus{
 		Name: t.Name, Service: t.Service, DataCentre: t.DataCentre, State: t.State.String(), Open: t.OpenFlows, Active: t.ActiveFlows,
 		Response: t.MeanResponseTime.Milliseconds(), Health: belief,
+		Asked: asked, AskedAge: t.AskedAge.Milliseconds(),
 	}
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -44,7 +44,7 @@
 		c.node.settings.DataCentre, routes(configuration), targets(c.catalog.TargetEntries(now), now),
 		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
 		packet.WithRegions(c.regions), packet.WithCompleteTargets(basis.departures.Complete),
-		packet.WithUnreadableTargets(targetKeys(c.catalog.UnreadableTargets())),
+		packet.WithUnreadableTargets(targetKeys(c.catalog.UnreadableTargets())), packet.WithHealthPaths(c.healthPaths(configuration)),
 	)) == nil
 	if first {
 		close(c.node.prepared)
--- a/internal/packet/health.go
+++ b/internal/packet/health.go
@@ -25,6 +25,10 @@
 	Dead bool
 	// Flows is the number of flows whose clients repeated packets.
 	Flows int
+	// Asked is the outcome of a question to the target itself on which the belief rests, begun
+	// QuestionAge ago; HeardAge is the age of what another host found, zero if none said so.
+	Asked                 QuestionOutcome
+	QuestionAge, HeardAge time.Duration
 }
 
 // HealthChanges returns the changes since the last call.
@@ -100,7 +104,7 @@
 			Unanswered: t.unanswered, Silence: now - t.silentSince,
 		})
 		// Between two requests nothing is lost with a flow.
-		p.endFlows(ReasonTargetDead, func(f *flowRecord) bool { return f.target == t && f.life == t.life && !f.active })
+		p.endFlows(ReasonTargetDead, func(_ Flow, f *flowRecord) bool { return f.target == t && f.life == t.life && !f.active })
 	}
 	return route.Idempotent
 }
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -57,6 +57,8 @@
 	idle               time.Duration
 	// repeated is the time of the last packet that the client repeated.
 	repeated time.Duration
+	// known is the time from which the host knows the flow at its target.
+	known time.Duration
 }
 
 // Plane decides on packets. It is not safe for concurrent use.
@@ -90,6 +92,7 @@
 	// answered holds the latest opening times of flows that were answered, in
 	// ascending order.
 	answered [deadAnswers]time.Duration
+	inquiry  inquiry
 }
 
 // NewPlane returns a plane without a view: it drops every packet.
@@ -123,7 +126,7 @@
 	gone := p.adoptEntries()
 	p.groupTargets()
 	if gone {
-		p.endFlows(ReasonTargetGone, func(f *flowRecord) bool { return f.target.State == Gone })
+		p.endFlows(ReasonTargetGone, func(_ Flow, f *flowRecord) bool { return f.target.State == Gone })
 	}
 	for key, t := range p.targets {
 		if t.entry == nil && t.open == 0 {
@@ -238,6 +241,7 @@
 			f.target.repeat(now, f)
 			f.target.unanswered = true
 			p.reconsider(now, f.target)
+			p.suspect(now, f.target, f.placed)
 		}
 		if lives {
 			return forward(f.target, ReasonCopy)
@@ -263,7 +267,7 @@
 	}
 	*f = flowRecord{
 		target: target, life: target.life, syn: k.Sequence, copies: k.Acknowledgement, next: k.Sequence + 1,
-		active: true, requested: now, seen: now, idle: route.IdleTimeout, placed: now, contested: k.Acknowledgement > 0,
+		active: true, requested: now, seen: now, idle: route.IdleTimeout, placed: now, contested: k.Acknowledgement > 0, known: now,
 	}
 	target.opened(now)
 	return forward(target, ReasonPlaced)
@@ -287,6 +291,7 @@
 		f.state, f.acknowledged = flowOpen, k.Acknowledgement
 		f.target.progress(now)
 		p.noteAnswered(f.requested)
+		p.noteQuickAnswer(now, f.requested)
 		if f.contested {
 			p.opensContested(now, k, f)
 		}
@@ -308,7 +313,7 @@
 		return Decision{Action: Refuse, Reason: ReasonNoRoute}
 	}
 	// A target that started again resets flows of its former life itself.
-	if f.life == f.target.life && p.abandons(now, f.target, route, k) {
+	if f.life == f.target.life && (f.abandoned(now, route, k) || p.abandons(now, f.target, route, k)) {
 		p.forget(k.Flow, f)
 		return Decision{Action: Refuse, Reason: ReasonTargetDead, Name: f.target.Name}
 	}
@@ -351,7 +356,7 @@
 		return Decision{Action: Refuse, Reason: ReasonTargetDead, Name: t.Name}
 	}
 	f := &flowRecord{
-		target: t, life: t.life, state: flowOpen, next: k.Sequence, acknowledged: k.Acknowledgement, seen: now, idle: route.IdleTimeout,
+		target: t, life: t.life, state: flowOpen, next: k.Sequence, acknowledged: k.Acknowledgement, seen: now, idle: route.IdleTimeout, known: now,
 	}
 	p.flows[k.Flow] = f
 	t.open++
@@ -367,6 +372,7 @@
 			f.active = false
 			f.target.active--
 			f.target.answered(now, now-f.requested)
+			p.noteQuickAnswer(now, f.requested)
 		} else {
 			f.target.progress(now)
 		}
@@ -381,6 +387,7 @@
 			}
 		} else {
 			f.target.repeat(now, f)
+			p.suspect(now, f.target, f.requested)
 		}
 	}
 	if (k.FIN || k.RST) && f.state != flowClosed {
@@ -445,7 +452,7 @@
 func (p *Plane) move(now time.Duration, f *flowRecord, t *targetRecord) {
 	p.release(f)
 	t.opened(now)
-	f.target, f.life, f.active = t, t.life, true
+	f.target, f.life, f.active, f.known = t, t.life, true, now
 }
 
 func (p *Plane) forget(key Flow, f *flowRecord) {
--- a/internal/packet/status.go
+++ b/internal/packet/status.go
@@ -23,6 +23,12 @@
 	Silence                         time.Duration
 	// WarmingUp is set in the target's warm-up, Dead if flows that may leave it do.
 	WarmingUp, Dead bool
+	// DeadByQuestion is set if they do because a question to the target failed, Suspected if new
+	// flows avoid it because that of another host did. Asked is the outcome of the last
+	// question, AskedAge the time since it began; zero if there was none.
+	DeadByQuestion, Suspected bool
+	Asked                     QuestionOutcome
+	AskedAge                  time.Duration
 }
 
 // Status returns what the plane knows of each target, by service and name.
@@ -34,6 +40,10 @@
 			MeanResponseTime: t.response, Retransmissions: t.repeats, Unanswered: t.unanswered, WarmingUp: now < t.WarmUpEnd, Dead: t.dead && now-t.repeatedAt <= deadRetention,
 			Unreachable: t.unreachable(now), Silent: t.avoided(now),
 		}
+		s.DeadByQuestion, s.Suspected, s.Asked = t.suspicion.condemned(now), t.suspicion.hearsay(now), t.suspicion.outcome
+		if t.suspicion.asked != 0 {
+			s.AskedAge = now - t.suspicion.asked
+		}
 		if t.silentSince != 0 {
 			s.Silence = now - t.silentSince
 		}
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -89,6 +89,8 @@
 	// leads to it.
 	entry   *Target
 	ownsTag bool
+	// suspicion is what questions to the target itself showed.
+	suspicion suspicion
 }
 
 // startAgain forgets what was learned of the target's former life: its flows are gone,
@@ -102,8 +104,9 @@
 	t.forget()
 	t.answeredAt = now
 	t.retried, t.dead = false, false
+	t.suspicion.progress()
 	if t.dataCentre != nil {
-		t.dataCentre.progress()
+		t.dataCentre.progress(now)
 	}
 }
 
@@ -114,7 +117,7 @@
 
 // avoided reports whether the target or its data centre seems dead.
 func (t *targetRecord) avoided(now time.Duration) bool {
-	return t.silent(now) || t.unreachable(now)
+	return t.silent(now) || t.unreachable(now) || t.suspicion.avoided(now)
 }
 
 // unreachable reports whether the target's whole data centre seems cut off.
--- a/internal/packet/terminated.go
+++ b/internal/packet/terminated.go
@@ -19,9 +19,9 @@
 }
 
 // endFlows ends the open flows that match.
-func (p *Plane) endFlows(reason Reason, matches func(f *flowRecord) bool) {
+func (p *Plane) endFlows(reason Reason, matches func(key Flow, f *flowRecord) bool) {
 	for key, f := range p.flows {
-		if f.state != flowOpen || !matches(f) {
+		if f.state != flowOpen || !matches(key, f) {
 			continue
 		}
 		p.endings = append(p.endings, TerminatedFlow{
--- a/internal/packet/view.go
+++ b/internal/packet/view.go
@@ -32,6 +32,9 @@
 	complete bool
 	// unreadable are the keys of entries that can't be read. Their targets may live.
 	unreadable []TargetKey
+	// healthPaths are the paths by service at which its targets say who they are; empty if the
+	// hosts do not ask.
+	healthPaths map[string]string
 }
 
 // ViewOption changes a View.
@@ -55,6 +58,12 @@
 	return func(v *View) { v.unreadable = keys }
 }
 
+// WithHealthPaths sets the paths by service at which its targets say who they are. Without it the
+// host asks no target.
+func WithHealthPaths(paths map[string]string) ViewOption {
+	return func(v *View) { v.healthPaths = paths }
+}
+
 // NewView returns a view for one of the hosts of a data centre. Of two routes
 // with one address the first holds.
 func NewView(dataCentre string, routes []Route, targets []Target, options ...ViewOption) *View {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -35,6 +35,9 @@
 	TargetsAge       duration.Duration `json:"targets_age"`
 	// FlowLifetime is the time after which a flow may be discarded.
 	FlowLifetime duration.Duration `json:"flow_lifetime"`
+	// SharedSuspicions is set if hosts ask a target themselves whether it lives, once its flows
+	// give cause for it, and tell each other of those that do not answer.
+	SharedSuspicions bool `json:"shared_suspicions"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log_level"`
 }
