--- a/internal/gossip/suspicion.go
+++ b/internal/gossip/suspicion.go
@@ -57,7 +57,8 @@
 // Add notes that a question to a target failed that a host began at a time, and reports whether
 // that is news.
 func (s *SuspectedTargets) Add(target uint64, asked, now time.Duration) bool {
-	if now-asked > suspectSpan || asked <= s.cleared[target] {
+	cleared, found := s.cleared[target]
+	if now-asked > suspectSpan || found && asked <= cleared {
 		return false
 	}
 	for i := range s.list {
--- a/internal/packet/datacentre.go
+++ b/internal/packet/datacentre.go
@@ -15,14 +15,14 @@
 	// of any, since is the time of the first.
 	silent int
 	since  time.Duration
-	// answeredAt is the time of the last sign of life.
-	answeredAt time.Duration
+	// answered is the time of the last request that a target answered quickly.
+	answered time.Duration
 	// doubted is set while the plane's last change of belief was to silence.
 	doubted bool
 }
 
 // progress notes a sign of life of a target.
-func (d *dataCentreRecord) progress(now time.Duration) { d.silent, d.answeredAt = 0, now }
+func (d *dataCentreRecord) progress() { d.silent = 0 }
 
 // fellSilent notes that a target seems dead.
 func (d *dataCentreRecord) fellSilent(now time.Duration) {
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -291,7 +291,7 @@
 		f.state, f.acknowledged = flowOpen, k.Acknowledgement
 		f.target.progress(now)
 		p.noteAnswered(f.requested)
-		p.noteQuickAnswer(now, f.requested)
+		p.noteQuickAnswer(now, f.target, f.requested)
 		if f.contested {
 			p.opensContested(now, k, f)
 		}
@@ -372,7 +372,7 @@
 			f.active = false
 			f.target.active--
 			f.target.answered(now, now-f.requested)
-			p.noteQuickAnswer(now, f.requested)
+			p.noteQuickAnswer(now, f.target, f.requested)
 		} else {
 			f.target.progress(now)
 		}
--- a/internal/packet/suspicion.go
+++ b/internal/packet/suspicion.go
@@ -41,8 +41,9 @@
 	proofAnswers = 3
 	proofLimit   = ConnectLimit
 	// proofWait is the time after the start of a failed question in which these answers have
-	// to come.
-	proofWait = 1500 * time.Millisecond
+	// to come: to requests that came during the question. Later ones may show that a cut has
+	// healed since.
+	proofWait = ConnectPause + ConnectLimit + proofLimit
 )
 
 // QuestionOutcome is what a question to a target itself showed.
@@ -192,8 +193,14 @@
 }
 
 // noteQuickAnswer notes that a target answered a request that came at a time.
-func (p *Plane) noteQuickAnswer(now, requested time.Duration) {
-	if now-requested <= proofLimit && requested > p.inquiry.answered[0] {
+func (p *Plane) noteQuickAnswer(now time.Duration, t *targetRecord, requested time.Duration) {
+	if now-requested > proofLimit {
+		return
+	}
+	if t.dataCentre != nil {
+		t.dataCentre.answered = max(t.dataCentre.answered, requested)
+	}
+	if requested > p.inquiry.answered[0] {
 		p.inquiry.answered[0] = requested
 		slices.Sort(p.inquiry.answered[:])
 	}
@@ -246,7 +253,7 @@
 	i := &p.inquiry
 	for _, t := range i.dead {
 		s := &t.suspicion
-		if s.dead && t.State == Accepting && !s.wanted && !s.asking && now-s.asked >= renewInterval {
+		if s.condemned(now) && t.State == Accepting && !s.wanted && !s.asking && now-s.asked >= renewInterval {
 			p.want(t, now)
 		}
 	}
@@ -343,12 +350,17 @@
 	s := &t.suspicion
 	suspected := t.silentSince != 0 || s.hearsay(now)
 	switch {
-	case s.failed == 0 || s.dead || now-s.failed > proofWait || !suspected || !p.mayCondemn(t):
+	case s.failed == 0 || s.dead || !suspected || !p.mayCondemn(t):
+		return true
+	case now-s.failed > proofWait:
+		s.failed = 0
+		p.want(t, now)
 		return true
 	case s.failed >= p.inquiry.answered[0] || t.unreachable(now):
 		return false
-	case t.dataCentre != nil && t.dataCentre.answeredAt <= s.failed:
-		// Nothing shows that the way to the target's data centre is open.
+	case t.dataCentre != nil && t.dataCentre.answered <= s.failed:
+		// Nothing shows that the way to the target's data centre is open. A sign of life is
+		// not enough: behind a cut targets still send what they owe to clients.
 		return false
 	}
 	s.dead, s.judged = true, now
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -106,7 +106,7 @@
 	t.retried, t.dead = false, false
 	t.suspicion.progress()
 	if t.dataCentre != nil {
-		t.dataCentre.progress(now)
+		t.dataCentre.progress()
 	}
 }
 
