Ask little in calm times, and count only proof from the time of a question

Requests now count as proof only if they came in the 0.35 s of the question, and a refusal is tried again after 0.3 s.

--- a/internal/gossip/suspicion.go
+++ b/internal/gossip/suspicion.go
@@ -8,8 +8,8 @@
 
 const (
 	// suspectsPerMessage bounds the suspected targets of a message, at 16 bytes each, and
-	// suspectsOfManyHosts in a fleet of manyHosts or more, whose digests leave less room in the
-	// 5 KB/s that a host may spend on control.
+	// suspectsOfManyHosts in a fleet of manyHosts or more, where other news leaves less room in
+	// the 5 KB/s that a host may spend on control.
 	suspectsPerMessage  = 8
 	suspectsOfManyHosts = 3
 	manyHosts           = 500
@@ -93,6 +93,10 @@
 	s.list = slices.DeleteFunc(s.list, func(e suspectEntry) bool { return e.target == target && e.asked <= asked })
 }
 
+// Urgent reports whether a host that knows of a number of live hosts tells of its own finding at
+// once, instead of with its next message.
+func (s *SuspectedTargets) Urgent(hosts int) bool { return hosts < manyHosts }
+
 // Next returns the targets for a message of a host that knows of a number of live hosts: first
 // those that were told least.
 func (s *SuspectedTargets) Next(now time.Duration, hosts int) []SuspectedTarget {
--- a/internal/gossip/suspicion_test.go
+++ b/internal/gossip/suspicion_test.go
@@ -16,6 +16,7 @@
 func TestSuspectsSpread(t *testing.T) {
 	for hosts, perMessage := range map[int]int{88: 8, 1100: 3} {
 		var sender, receiver gossip.SuspectedTargets
+		require.Equal(t, hosts < 500, sender.Urgent(hosts))
 		for target := range uint64(9) {
 			require.True(t, sender.Add(0xfedcba9876543210+target, 0, 0))
 			require.False(t, sender.Add(0xfedcba9876543210+target, 100*time.Millisecond, 0), "hardly later")
--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -155,8 +155,9 @@
 	}
 }
 
-// connect tries to connect to an address, a second time if the first try has not succeeded
-// within ConnectPause. It returns the first connection, or the tries, which all failed.
+// connect tries to connect to an address, and again ConnectPause after the start of the first try,
+// or RefusedPause if that was refused, unless it has succeeded. It returns the first connection, or
+// the tries, which all failed.
 func (n *Node) connect(address netip.AddrPort) (net.Conn, []packet.ConnectionAttempt) {
 	type result struct {
 		connection net.Conn
@@ -188,6 +189,9 @@
 			running--
 			if r.connection == nil {
 				attempts = append(attempts, r.attempt)
+				if again != nil && r.attempt.Refused {
+					again = n.clock.After(packet.RefusedPause - r.attempt.Lasted)
+				}
 				continue
 			}
 			cancel()
@@ -231,7 +235,7 @@
 		}
 		fresh = c.suspects.Add(uint64(news.Target), news.At, now) || fresh
 	}
-	return fresh
+	return fresh && c.suspects.Urgent(c.members.LiveHostCount(now))
 }
 
 // hearSuspects takes over what another host says of targets.
--- a/internal/packet/datacentre.go
+++ b/internal/packet/datacentre.go
@@ -15,8 +15,6 @@
 	// of any, since is the time of the first.
 	silent int
 	since  time.Duration
-	// answered is the time of the last request that a target answered quickly.
-	answered time.Duration
 	// doubted is set while the plane's last change of belief was to silence.
 	doubted bool
 }
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -102,6 +102,7 @@
 		tags: map[uint32]*targetRecord{}, services: map[string]*service{}, dataCentres: map[string]*dataCentreRecord{},
 		shared: map[SharedIdentity]bool{}, sharedBefore: map[SharedIdentity]bool{},
 		unlisted: map[unlistedKey]unlistedFlow{}, unreadable: map[uint32]bool{}, contested: map[Flow]contestedFlow{},
+		inquiry: inquiry{early: earlyBurst},
 	}
 }
 
@@ -241,7 +242,7 @@
 			f.target.repeat(now, f)
 			f.target.unanswered = true
 			p.reconsider(now, f.target)
-			p.suspect(now, f.target, f.placed)
+			p.suspect(now, f.target, f.placed, false)
 		}
 		if lives {
 			return forward(f.target, ReasonCopy)
@@ -386,8 +387,9 @@
 				f.target.active++
 			}
 		} else {
+			first := f.repeated < f.requested || f.repeated == 0
 			f.target.repeat(now, f)
-			p.suspect(now, f.target, f.requested)
+			p.suspect(now, f.target, f.requested, first)
 		}
 	}
 	if (k.FIN || k.RST) && f.state != flowClosed {
--- a/internal/packet/suspicion.go
+++ b/internal/packet/suspicion.go
@@ -16,6 +16,11 @@
 	// ConnectPause is the time between the starts of the two tries to connect. A lost packet
 	// is repeated only after a second, so the second try stands for the repeat.
 	ConnectPause = 150 * time.Millisecond
+	// RefusedPause is the same after a refusal, which comes at once, so that the question lasts
+	// for questionSpan all the same.
+	RefusedPause = 300 * time.Millisecond
+	// questionSpan is the time of a question whose tries fail.
+	questionSpan = ConnectPause + ConnectLimit
 	// AnswerLimit is the time for the answer of a target that was connected to.
 	AnswerLimit = 300 * time.Millisecond
 	// lateLimit is the time by which a try may end late. One that ends later waited for the
@@ -33,17 +38,21 @@
 	// host of a large fleet has flows at about ten.
 	runningQuestions = 8
 	questionRate     = 16
+	// earlyRate is the rate a second of questions after a client's first repeat of data alone,
+	// earlyBurst the number at once. One request in thirty waits that long at a busy target, and
+	// questions cost connections and slots; the second repeat comes 400 ms later. After a
+	// question that failed, here or at another host, there is no such limit for eagerSpan.
+	earlyRate  = 0.25
+	earlyBurst = 2.0
+	eagerSpan  = 3 * time.Second
 	// spreadLimit bounds the random delay of a question that other hosts gave cause for.
 	spreadLimit = 150 * time.Millisecond
 	// proofAnswers is the number of requests that others have to answer, each within
-	// proofLimit, after the start of a question that failed: they show that the host's own
-	// link carries packets in less time than the question had.
+	// proofLimit, of those that came in the questionSpan from the start of a question that
+	// failed: they show that the host's own link carries packets in less time than the question
+	// had. Later ones may show that a cut has healed since.
 	proofAnswers = 3
 	proofLimit   = ConnectLimit
-	// proofWait is the time after the start of a failed question in which these answers have
-	// to come: to requests that came during the question. Later ones may show that a cut has
-	// healed since.
-	proofWait = ConnectPause + ConnectLimit + proofLimit
 )
 
 // QuestionOutcome is what a question to a target itself showed.
@@ -141,6 +150,10 @@
 	// failed is the start of the last question if it failed, and nothing spoke for the target
 	// since; alive that of the last one that the target answered.
 	failed, alive time.Duration
+	// proofs is the number of requests that came since asked, in time, and that others
+	// answered; reached is set if one was of the target's data centre.
+	proofs  int
+	reached bool
 	// heard is the time of the last question of another host that failed.
 	heard time.Duration
 	// dead is set while the target counts as dead by questions, from the time judged on.
@@ -167,17 +180,17 @@
 
 // inquiry is the plane's part in questions to targets.
 type inquiry struct {
-	// wanted holds targets to be asked, failed those whose question failed and awaits proof,
-	// and dead those that count as dead.
-	wanted, failed, dead []*targetRecord
-	running              int
+	// wanted holds targets to be asked, examined those that are being asked or whose question
+	// failed and awaits proof, and dead those that count as dead.
+	wanted, examined, dead []*targetRecord
+	running                int
 	// second is the start of the span in which begun questions count against questionRate.
 	second time.Duration
 	begun  int
-	// answered holds the times of the last requests that were answered quickly, in ascending
-	// order.
-	answered [proofAnswers]time.Duration
-	news     []TargetNews
+	// early is what was left of earlyBurst at the time counted. It does not count until eager.
+	early          float64
+	counted, eager time.Duration
+	news           []TargetNews
 }
 
 // asksTargets reports whether the hosts ask suspected targets of a service, which needs a path and
@@ -197,21 +210,39 @@
 	if now-requested > proofLimit {
 		return
 	}
-	if t.dataCentre != nil {
-		t.dataCentre.answered = max(t.dataCentre.answered, requested)
-	}
-	if requested > p.inquiry.answered[0] {
-		p.inquiry.answered[0] = requested
-		slices.Sort(p.inquiry.answered[:])
+	for _, examined := range p.inquiry.examined {
+		s := &examined.suspicion
+		if requested <= s.asked || requested > s.asked+questionSpan {
+			continue
+		}
+		s.proofs++
+		s.reached = s.reached || examined.dataCentre == t.dataCentre
 	}
 }
 
 // suspect wants a question to a target that did not answer what a client sent first at a time. A
-// sign of life since then means that it is busy.
-func (p *Plane) suspect(now time.Duration, t *targetRecord, sent time.Duration) {
-	if t.answeredAt <= sent {
-		p.want(t, now)
+// sign of life since then means that it is busy, and so does a first repeat of data most of the
+// time.
+func (p *Plane) suspect(now time.Duration, t *targetRecord, sent time.Duration, first bool) {
+	s := &t.suspicion
+	if t.answeredAt > sent || s.wanted || s.asking || !p.mayCondemn(t) || t.unreachable(now) || first && !p.inquiry.admitEarly(now) {
+		return
+	}
+	p.want(t, now)
+}
+
+// admitEarly counts a question after a first repeat, and reports whether it may be asked.
+func (i *inquiry) admitEarly(now time.Duration) bool {
+	if now < i.eager {
+		return true
 	}
+	i.early = min(earlyBurst, i.early+earlyRate*(now-i.counted).Seconds())
+	i.counted = now
+	if i.early < 1 {
+		return false
+	}
+	i.early--
+	return true
 }
 
 // want asks a target from a time on, but not too often.
@@ -242,6 +273,7 @@
 		return
 	}
 	s.heard = n.At
+	p.inquiry.eager = now + eagerSpan
 	// Without flows there nothing depends on the target but where new ones go.
 	if t.open > 0 && s.asked < n.At && !s.dead {
 		p.want(t, now+time.Duration(p.random.Int64N(int64(spreadLimit))))
@@ -272,7 +304,10 @@
 		case now < s.due || !i.admit(now):
 			return false
 		}
-		s.wanted, s.asking, s.asked = false, true, now
+		s.wanted, s.asking, s.asked, s.proofs, s.reached = false, true, now, 0, false
+		if !slices.Contains(i.examined, t) {
+			i.examined = append(i.examined, t)
+		}
 		q := Question{
 			Target: t.Key, Name: t.Name, Address: t.Address, HealthPath: p.view.healthPaths[t.Service], Asked: now,
 			Retransmissions: t.repeats, Unanswered: t.unanswered, life: t.life,
@@ -320,8 +355,7 @@
 		s.failed = r.Asked
 		p.tell(t)
 	default:
-		s.failed = r.Asked
-		p.inquiry.failed = append(p.inquiry.failed, t)
+		s.failed, p.inquiry.eager = r.Asked, now+eagerSpan
 	}
 }
 
@@ -334,8 +368,8 @@
 // returns what other hosts are to be told.
 func (p *Plane) Judge(now time.Duration) []TargetNews {
 	i := &p.inquiry
-	if len(i.failed) > 0 {
-		i.failed = slices.DeleteFunc(i.failed, func(t *targetRecord) bool { return p.judge(now, t) })
+	if len(i.examined) > 0 {
+		i.examined = slices.DeleteFunc(i.examined, func(t *targetRecord) bool { return !t.suspicion.asking && p.judge(now, t) })
 	}
 	if len(i.dead) > 0 {
 		i.dead = slices.DeleteFunc(i.dead, func(t *targetRecord) bool { return p.ended(now, t) })
@@ -352,16 +386,15 @@
 	switch {
 	case s.failed == 0 || s.dead || !suspected || !p.mayCondemn(t):
 		return true
-	case now-s.failed > proofWait:
+	case s.proofs < proofAnswers || !s.reached || t.unreachable(now):
+		// Without an answer of the target's data centre nothing shows that the way there is
+		// open. A sign of life is not enough: behind a cut targets still send what they owe.
+		if now-s.failed <= questionSpan+proofLimit {
+			return false
+		}
 		s.failed = 0
 		p.want(t, now)
 		return true
-	case s.failed >= p.inquiry.answered[0] || t.unreachable(now):
-		return false
-	case t.dataCentre != nil && t.dataCentre.answered <= s.failed:
-		// Nothing shows that the way to the target's data centre is open. A sign of life is
-		// not enough: behind a cut targets still send what they owe to clients.
-		return false
 	}
 	s.dead, s.judged = true, now
 	if !s.listed {
