--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -387,9 +387,8 @@
 				f.target.active++
 			}
 		} else {
-			first := f.repeated < f.requested || f.repeated == 0
 			f.target.repeat(now, f)
-			p.suspect(now, f.target, f.requested, first)
+			p.suspect(now, f.target, f.requested, now-f.requested < secondRepeat)
 		}
 	}
 	if (k.FIN || k.RST) && f.state != flowClosed {
--- a/internal/packet/suspicion.go
+++ b/internal/packet/suspicion.go
@@ -45,6 +45,9 @@
 	earlyRate  = 0.25
 	earlyBurst = 2.0
 	eagerSpan  = 3 * time.Second
+	// secondRepeat is a time between a client's first repeat, after 200 ms, and its second, after
+	// 600 ms.
+	secondRepeat = 500 * time.Millisecond
 	// spreadLimit bounds the random delay of a question that other hosts gave cause for.
 	spreadLimit = 150 * time.Millisecond
 	// proofAnswers is the number of requests that others have to answer, each within
