Pass news of suspected targets on at once

Hosts of fleets under 500 now speak at their next look when they hear something new, and ask within 50 ms.

--- a/internal/gossip/suspicion.go
+++ b/internal/gossip/suspicion.go
@@ -93,7 +93,7 @@
 	s.list = slices.DeleteFunc(s.list, func(e suspectEntry) bool { return e.target == target && e.asked <= asked })
 }
 
-// Urgent reports whether a host that knows of a number of live hosts tells of its own finding at
+// Urgent reports whether a host that knows of a number of live hosts tells of something new at
 // once, instead of with its next message.
 func (s *SuspectedTargets) Urgent(hosts int) bool { return hosts < manyHosts }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -69,6 +69,8 @@
 	contested gossip.ContestedFlows
 	// suspects holds the targets of which the host tells others.
 	suspects gossip.SuspectedTargets
+	// suspectsHeard is set if another host told of such a target since the last message.
+	suspectsHeard bool
 }
 
 // newControl returns the control state of a node that runs until the context ends.
--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -225,9 +225,10 @@
 }
 
 // tellSuspects takes what this host has found out about targets into the messages to others. It
-// reports whether there is news that others wait for.
+// reports whether there is news, here or from another host, that others wait for.
 func (c *control) tellSuspects(now time.Duration) bool {
-	fresh := false
+	fresh := c.suspectsHeard
+	c.suspectsHeard = false
 	for _, news := range c.node.suspicions.takeTold() {
 		if news.Lives {
 			c.suspects.Clear(uint64(news.Target), news.At)
@@ -248,6 +249,7 @@
 		if !c.suspects.Add(s.Target, asked, now) {
 			continue
 		}
+		c.suspectsHeard = true
 		c.node.metrics.suspectsHeard.Inc()
 		c.node.log.Info(logs.TargetSuspected, zap.Uint64("target_key", s.Target), zap.String("source", m.From.ID), zap.Duration("age", now-asked))
 		c.node.suspicions.putHeard(packet.TargetNews{Target: packet.TargetKey(s.Target), At: asked})
--- a/internal/node/prober_test.go
+++ b/internal/node/prober_test.go
@@ -138,6 +138,8 @@
 		}
 		require.Equal(t, []packet.TargetNews{{Target: 7, At: 4900 * time.Millisecond}}, heard)
 		require.Equal(t, []gossip.SuspectedTarget{{Target: 7, Age: 200}}, c.suspects.Next(5100*time.Millisecond, 88))
+		require.True(t, c.tellSuspects(5100*time.Millisecond), "others wait for it")
+		require.False(t, c.tellSuspects(5100*time.Millisecond))
 		// The target answers this host, which tells of it no more, but of another one at once.
 		c.node.suspicions.putTold([]packet.TargetNews{{Target: 7, At: 5050 * time.Millisecond, Lives: true}})
 		require.False(t, c.tellSuspects(5100*time.Millisecond))
--- a/internal/packet/suspicion.go
+++ b/internal/packet/suspicion.go
@@ -49,7 +49,7 @@
 	// 600 ms.
 	secondRepeat = 500 * time.Millisecond
 	// spreadLimit bounds the random delay of a question that other hosts gave cause for.
-	spreadLimit = 150 * time.Millisecond
+	spreadLimit = 50 * time.Millisecond
 	// proofAnswers is the number of requests that others have to answer, each within
 	// proofLimit, of those that came in the questionSpan from the start of a question that
 	// failed: they show that the host's own link carries packets in less time than the question
