--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -53,7 +53,7 @@
 		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
 		packet.WithRegions(c.regions), packet.WithCompleteTargets(basis.departures.Complete),
 		packet.WithUnreadableTargets(targetKeys(c.catalog.UnreadableTargets())),
-		packet.WithEvacuated(evacuations),
+		packet.WithEvacuated(evacuations), packet.WithHealthPaths(c.healthPaths(configuration)),
 	)) == nil
 	if first {
 		close(c.node.prepared)
--- a/internal/packet/view.go
+++ b/internal/packet/view.go
@@ -34,6 +34,9 @@
 	unreadable []TargetKey
 	// evacuations are the data centres that get no new flows, or got none until lately.
 	evacuations map[string]Evacuation
+	// healthPaths are the paths by service at which its targets say who they are; empty if the
+	// hosts do not ask.
+	healthPaths map[string]string
 }
 
 // ViewOption changes a View.
@@ -57,6 +60,12 @@
 	return func(v *View) { v.unreadable = keys }
 }
 
+// WithHealthPaths sets the paths by service at which its targets say who they are. Without it the
+// host asks no target.
+func WithHealthPaths(paths map[string]string) ViewOption {
+	return func(v *View) { v.healthPaths = paths }
+}
+
 // NewView returns a view for one of the hosts of a data centre. Of two routes
 // with one address the first holds.
 func NewView(dataCentre string, routes []Route, targets []Target, options ...ViewOption) *View {
