Place flows by learned costs and speeds, shared within a data centre

Cause: targets differ 0.6 to 1.6 in speed, and one request in 33 costs seven times as much. p99 is the tail at slow targets, which took a third of the flows, since no host sees enough of a target to know its speed. Change: packet hosts learn the cost of routes and the speed of targets from response times, tell the hosts of their data centre (gossip field 13), and weigh loads by them once targets differ by more than chance. A route goes to its other service where the drawn one has no target, or (learned_costs) no room. Setting learned_costs, metrics, status, log line, experiment. TestTargetThatStartsAgainIsNew names the values of the new status fields.

--- a/internal/commands/node_status.go
+++ b/internal/commands/node_status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"oriolevalve/internal/node"
@@ -73,16 +74,25 @@
 		w.row(l.Name, fmt.Sprint(l.Revision), milliseconds(l.Age), fmt.Sprint(l.Rank))
 	}
 	w.row("")
-	w.row("SERVICE", "TARGET", "DATA CENTRE", "STATE", "OPEN", "ACTIVE", "RESPONSE", "BELIEF")
+	w.row("SERVICE", "TARGET", "DATA CENTRE", "STATE", "OPEN", "ACTIVE", "RESPONSE", "SPEED", "LOAD", "BELIEF")
 	for _, t := range s.Targets {
 		if p.all || t.Open > 0 || t.Health != "answers" {
-			w.row(t.Service, t.Name, t.DataCentre, t.State, fmt.Sprint(t.Open), fmt.Sprint(t.Active), milliseconds(t.Response), t.Health)
+			w.row(t.Service, t.Name, t.DataCentre, t.State, fmt.Sprint(t.Open), fmt.Sprint(t.Active), milliseconds(t.Response),
+				ratio(t.Speed), ratio(t.Load), t.Health)
 		}
 	}
 	w.row("")
 	w.row("targets are of", milliseconds(s.TargetsAge), "before")
 }
 
+// ratio formats a value that hosts of earlier builds do not tell.
+func ratio(value float64) string {
+	if value == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(value, 'f', 2, 64)
+}
+
 func milliseconds(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
 
 // process asks each host in turn. A host that does not answer is reported at the
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -22,6 +22,8 @@
 	loadLength = 12 * time.Second
 	loadChange = 4 * time.Second
 	loadSpan   = 3 * time.Second
+	// unevenLength is loadLength of the patterns in which requests or targets differ.
+	unevenLength = 30 * time.Second
 )
 
 // loadPattern is a load, or a change of the targets under it.
@@ -30,35 +32,87 @@
 	// use is the mean use of the targets' slots before the pattern begins.
 	use   float64
 	apply func(m *loadModel)
+	// uneven is set if requests or targets differ: the run is as long as it takes to learn how.
+	uneven bool
+}
+
+// length is the time for which requests arrive.
+func (p *loadPattern) length() time.Duration {
+	if p.uneven {
+		return unevenLength
+	}
+	return loadLength
 }
 
 // loadPatterns are the patterns that are played.
 func loadPatterns() []loadPattern {
 	return []loadPattern{
-		{"steady", 0.6, func(*loadModel) {}},
+		{"steady", 0.6, func(*loadModel) {}, false},
 		{"crowd", 0.5, func(m *loadModel) {
 			m.at(loadChange, func() { m.scale(1.7, 1.7, 1.7) })
 			m.at(loadChange+loadSpan, func() { m.scale(1/1.7, 1/1.7, 1/1.7) })
-		}},
+		}, false},
 		{"shift", 0.5, func(m *loadModel) {
 			// Half of the clients of one data centre call another one.
 			m.at(loadChange, func() { m.scale(0.5, 1.5, 1) })
 			m.at(loadChange+loadSpan, func() { m.scale(2, 1/1.5, 1) })
-		}},
+		}, false},
 		{"release", 0.5, func(m *loadModel) {
 			count := len(m.targets) / 2
 			m.every(loadChange, loadSpan/time.Duration(count), count, func(i int) { m.replace(m.targets[i]) })
-		}},
+		}, false},
 		{"slow_third", 0.4, func(m *loadModel) {
 			m.at(loadChange, func() { m.each(3, func(t *loadTarget) { t.slow = 4 }) })
 			m.at(loadChange+loadSpan, func() { m.each(3, func(t *loadTarget) { t.slow = 1 }) })
-		}},
+		}, false},
 		{"dead_quarter", 0.4, func(m *loadModel) {
 			m.at(loadChange, func() { m.each(4, m.kill) })
-		}},
+		}, false},
+		// Two kinds of like requests on long flows, a third of the targets each at a speed of 0.6, 1
+		// and 1.6, and one request in 33 that takes seven times as long.
+		{"uneven", 0.17, func(m *loadModel) {
+			m.uneven(0.03)
+		}, true},
+		{"uneven_busy", 0.45, func(m *loadModel) {
+			m.uneven(0.03)
+		}, true},
+		{"uneven_crowd", 0.3, func(m *loadModel) {
+			m.uneven(0.03)
+			m.at(loadChange*3, func() { m.scale(2, 2, 2) })
+			m.at(loadChange*3+loadSpan, func() { m.scale(0.5, 0.5, 0.5) })
+		}, true},
+		{"even_long", 0.17, func(m *loadModel) {
+			m.setKinds(longKinds(0.03)...)
+		}, true},
+		// The second kind is a sixth of the first one's work, has flows of one request and no tail.
+		{"one_heavy_kind", 0.4, func(m *loadModel) {
+			m.setKinds(
+				loadKind{share: 0.3, work: 26 * time.Millisecond, tail: 0.03, tailFactor: 7, requests: 1},
+				loadKind{share: 0.7, work: 4 * time.Millisecond, requests: 1},
+			)
+		}, true},
 	}
 }
 
+// longKinds are two kinds of requests on long flows and short ones, with a tail.
+func longKinds(tail float64) []loadKind {
+	return []loadKind{
+		{share: 0.78, work: 26 * time.Millisecond, tail: tail, tailFactor: 7, requests: 8, pause: time.Second},
+		{share: 0.22, work: 33 * time.Millisecond, tail: tail, tailFactor: 7, requests: 2, pause: time.Second},
+	}
+}
+
+// unevenSpeeds are the speeds of targets.
+var unevenSpeeds = [...]float64{0.6, 1, 1.6}
+
+// uneven makes targets differ in speed.
+func (m *loadModel) uneven(tail float64) {
+	for i, t := range m.targets {
+		t.slow = 1 / unevenSpeeds[i/loadDataCentres%len(unevenSpeeds)]
+	}
+	m.setKinds(longKinds(tail)...)
+}
+
 // scale multiplies the rates of the data centres' clients.
 func (m *loadModel) scale(factors ...float64) {
 	for i, f := range factors {
@@ -79,6 +133,8 @@
 type loadResult struct {
 	inAim, late, failed, shed, remote int
 	times                             []float64
+	// lightTimes are those of the kinds after the first.
+	lightTimes []float64
 }
 
 // loadRow is a run with its figures.
@@ -99,6 +155,8 @@
 	// P50 and P99 are times of served requests in milliseconds.
 	P50 float64 `json:"p50_ms"`
 	P99 float64 `json:"p99_ms"`
+	// P99Light is that of the kinds after the first; zero if there is one.
+	P99Light float64 `json:"p99_light_ms"`
 	// Imbalance is the use of the busiest target over the mean, each for the time in
 	// which it took new flows, of targets that did for a third of the run.
 	Imbalance float64 `json:"imbalance"`
@@ -107,7 +165,7 @@
 func playLoad(p loadPattern, name string, hosts, targets int, seed uint64) loadRow {
 	m := newLoadModel(hosts, targets, p.use, seed)
 	p.apply(m)
-	m.run(newPlacement(name, m, seed), loadLength)
+	m.run(newPlacement(name, m, seed), p.length())
 	r := &m.result
 	all := r.inAim + r.late + r.failed
 	share := func(count int) float64 { return float64(count) / float64(all) }
@@ -116,9 +174,12 @@
 		InAim: share(r.inAim), Late: share(r.late), Failed: share(r.failed), Shed: share(r.shed), Remote: share(r.remote),
 		P50: quantile(r.times, 0.5), P99: quantile(r.times, 0.99),
 	}
+	if len(r.lightTimes) > 0 {
+		row.P99Light = quantile(r.lightTimes, 0.99)
+	}
 	var uses []float64
 	for _, t := range m.targets {
-		if t.lived > loadLength/3 && t.State != packet.Accepting {
+		if t.lived > p.length()/3 && t.State != packet.Accepting {
 			uses = append(uses, t.busy.Seconds()/t.lived.Seconds())
 		}
 	}
@@ -133,14 +194,19 @@
 // runLoad plays patterns of load through the planes of packet hosts and through simpler
 // placements.
 func runLoad(ctx context.Context, o Options) error {
-	sizes := []struct{ hosts, targets int }{{8, 18}, {91, 150}, {295, 480}}
+	type size struct{ hosts, targets int }
+	sizes, unevenSizes := []size{{8, 18}, {91, 150}, {295, 480}}, []size{{8, 18}, {88, 120}, {300, 480}}
 	seeds := replicates
 	if o.Quick {
-		sizes, seeds = sizes[:1], 1
+		sizes, unevenSizes, seeds = sizes[:1], unevenSizes[:1], 1
 	}
 	var rows []loadRow
-	for _, size := range sizes {
+	for i := range sizes {
 		for _, p := range loadPatterns() {
+			size := sizes[i]
+			if p.uneven {
+				size = unevenSizes[i]
+			}
 			for _, name := range placementNames {
 				if len(o.Policies) > 0 && !slices.Contains(o.Policies, name) {
 					continue
@@ -185,7 +251,7 @@
 func writeLoad(w io.Writer, rows []loadRow, seeds int) error {
 	out := csv.NewWriter(w)
 	if err := out.Write([]string{
-		"hosts", "targets", "pattern", "placement", "in_aim", "late", "failed", "shed", "remote", "p50_ms", "p99_ms", "imbalance",
+		"hosts", "targets", "pattern", "placement", "in_aim", "late", "failed", "shed", "remote", "p50_ms", "p99_ms", "p99_light_ms", "imbalance",
 	}); err != nil {
 		return err
 	}
@@ -203,7 +269,7 @@
 			mean(func(r *loadRow) float64 { return r.InAim }, 4), mean(func(r *loadRow) float64 { return r.Late }, 4),
 			mean(func(r *loadRow) float64 { return r.Failed }, 4), mean(func(r *loadRow) float64 { return r.Shed }, 4),
 			mean(func(r *loadRow) float64 { return r.Remote }, 4), mean(func(r *loadRow) float64 { return r.P50 }, 1),
-			mean(func(r *loadRow) float64 { return r.P99 }, 1), mean(func(r *loadRow) float64 { return r.Imbalance }, 3),
+			mean(func(r *loadRow) float64 { return r.P99 }, 1), mean(func(r *loadRow) float64 { return r.P99Light }, 1), mean(func(r *loadRow) float64 { return r.Imbalance }, 3),
 		}); err != nil {
 			return err
 		}
--- a/internal/experiment/load_model.go
+++ b/internal/experiment/load_model.go
@@ -38,7 +38,10 @@
 // loadCopies are the times at which a client repeats an opening packet, and gives up.
 var loadCopies = [...]time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
 
-var loadService = netip.MustParseAddrPort("198.18.0.1:443")
+// loadRoute returns the address of a kind's route.
+func loadRoute(kind int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(kind + 1)}), 443)
+}
 
 // loadTarget is a target of the model.
 type loadTarget struct {
@@ -50,17 +53,47 @@
 	dead bool
 	born time.Duration
 	busy time.Duration
+	// demand is the expected number of requests in progress of the open flows.
+	demand float64
 	// lived is the time in which the target took new flows.
 	lived, since time.Duration
 }
 
-// loadRequest is a request on its way.
+// loadKind is a kind of request, with a route of its own.
+type loadKind struct {
+	// share is the part of the requests, work their mean work but for the tail.
+	share float64
+	work  time.Duration
+	// tail is the part of the requests that need tailFactor times the work.
+	tail, tailFactor float64
+	// requests is the number of requests of a flow, pause the mean time between two.
+	requests int
+	pause    time.Duration
+}
+
+// meanWork returns the mean work of a request.
+func (k *loadKind) meanWork() time.Duration {
+	return time.Duration(float64(k.work) * (1 + k.tail*(k.tailFactor-1)))
+}
+
+// demand returns the mean number of requests in progress of a flow at a target of mean speed.
+func (k *loadKind) demand() float64 {
+	if k.requests < 2 {
+		return 0
+	}
+	return k.work.Seconds() / (k.work + k.pause).Seconds()
+}
+
+// loadRequest is a flow with its request on the way.
 type loadRequest struct {
 	flow    packet.Flow
+	kind    int
 	host    int
 	target  *loadTarget
 	started time.Duration
 	copies  int
+	// made is the number of requests before this one.
+	made int
 }
 
 type loadEvent struct {
@@ -96,6 +129,7 @@
 	clients   int
 	// rate is the number of requests a second of each data centre's clients.
 	rate   [loadDataCentres]float64
+	kinds  []loadKind
 	result loadResult
 }
 
@@ -110,7 +144,7 @@
 }
 
 func newLoadModel(hosts, targets int, use float64, seed uint64) *loadModel {
-	m := &loadModel{random: rand.New(rand.NewPCG(seed, 5)), hosts: hosts}
+	m := &loadModel{random: rand.New(rand.NewPCG(seed, 5)), hosts: hosts, kinds: []loadKind{{share: 1, work: loadWork, requests: 1}}}
 	for range targets {
 		m.addTarget()
 	}
@@ -120,6 +154,44 @@
 	return m
 }
 
+// setKinds sets the kinds of requests; the work of all stays as it was.
+func (m *loadModel) setKinds(kinds ...loadKind) {
+	before, after := 0.0, 0.0
+	for i := range m.kinds {
+		before += m.kinds[i].share * m.kinds[i].meanWork().Seconds()
+	}
+	for i := range kinds {
+		after += kinds[i].share * kinds[i].meanWork().Seconds()
+	}
+	m.kinds = kinds
+	for i := range m.rate {
+		m.rate[i] *= before / after
+	}
+}
+
+// drawKind returns the kind of a new flow: long flows are fewer than their requests.
+func (m *loadModel) drawKind() int {
+	if len(m.kinds) == 1 {
+		return 0
+	}
+	drawn := m.random.Float64() * m.flowsPerRequest()
+	for i := range m.kinds {
+		drawn -= m.kinds[i].share / float64(m.kinds[i].requests)
+		if drawn < 0 {
+			return i
+		}
+	}
+	return len(m.kinds) - 1
+}
+
+func (m *loadModel) flowsPerRequest() float64 {
+	sum := 0.0
+	for i := range m.kinds {
+		sum += m.kinds[i].share / float64(m.kinds[i].requests)
+	}
+	return sum
+}
+
 func (m *loadModel) addTarget() {
 	i := len(m.targets)
 	t := &loadTarget{slow: 1, since: m.now, born: m.now, Target: packet.Target{
@@ -172,17 +244,19 @@
 }
 
 func (m *loadModel) arriveNext(dataCentre int, end time.Duration) {
-	wait := time.Duration(m.random.ExpFloat64() / m.rate[dataCentre] * float64(time.Second))
+	wait := time.Duration(m.random.ExpFloat64() / (m.rate[dataCentre] * m.flowsPerRequest()) * float64(time.Second))
 	if m.now+wait >= end {
 		return
 	}
 	m.at(wait, func() {
 		m.clients++
 		r := &loadRequest{
+			kind: m.drawKind(),
 			host: dataCentre + loadDataCentres*m.random.IntN(m.hostsIn(dataCentre)), started: m.now,
-			flow: packet.Flow{Service: loadService, Client: netip.AddrPortFrom(
+			flow: packet.Flow{Client: netip.AddrPortFrom(
 				netip.AddrFrom4([4]byte{100, byte(64 + m.clients>>22), byte(m.clients >> 14), byte(m.clients >> 6)}), uint16(1024+m.clients&63))},
 		}
+		r.flow.Service = loadRoute(r.kind)
 		m.open(r)
 		m.arriveNext(dataCentre, end)
 	})
@@ -208,6 +282,7 @@
 		return
 	}
 	if !r.target.dead {
+		r.target.demand += m.kinds[r.kind].demand()
 		m.at(m.way(r), func() { m.serve(r) })
 		return
 	}
@@ -237,7 +312,11 @@
 func (m *loadModel) begin(r *loadRequest) {
 	t := r.target
 	t.running++
-	work := float64(loadWork) * math.Exp(loadSpread*m.random.NormFloat64()-loadSpread*loadSpread/2) * t.slow
+	k := &m.kinds[r.kind]
+	work := float64(k.work) * math.Exp(loadSpread*m.random.NormFloat64()-loadSpread*loadSpread/2) * t.slow
+	if k.tail > 0 && m.random.Float64() < k.tail {
+		work *= k.tailFactor
+	}
 	if m.now-t.born < loadCold {
 		work *= loadColdFactor
 	}
@@ -262,10 +341,26 @@
 	m.at(max(0, loadDeadline-(m.now-r.started)), func() { m.finish(r, false) })
 }
 
-// finish counts the outcome of a request.
+// finish ends a request, and its flow after the last one.
 func (m *loadModel) finish(r *loadRequest, served bool) {
-	m.placement.finished(m, r, served)
 	took := m.now - r.started
+	m.count(r, served, took)
+	if k := &m.kinds[r.kind]; served && r.made+1 < k.requests {
+		m.placement.answered(m, r)
+		m.at(time.Duration(m.random.ExpFloat64()*float64(k.pause)), func() {
+			r.started = m.now
+			r.made++
+			m.placement.requested(m, r)
+			m.at(m.way(r), func() { m.serve(r) })
+		})
+		return
+	}
+	r.target.demand -= m.kinds[r.kind].demand()
+	m.placement.finished(m, r, served)
+}
+
+// count counts the outcome of a request.
+func (m *loadModel) count(r *loadRequest, served bool, took time.Duration) {
 	switch {
 	case !served || took > loadDeadline:
 		m.result.failed++
@@ -279,6 +374,9 @@
 		m.result.remote++
 	}
 	m.result.times = append(m.result.times, took.Seconds()*1e3)
+	if r.kind > 0 {
+		m.result.lightTimes = append(m.result.lightTimes, took.Seconds()*1e3)
+	}
 }
 
 // kill makes a target fall silent; its entry goes later.
--- a/internal/experiment/placement.go
+++ b/internal/experiment/placement.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"oriolevalve/internal/gossip"
 	"oriolevalve/internal/packet"
 )
 
@@ -12,27 +13,48 @@
 	view(m *loadModel)
 	// place returns the target of an opening packet; nil if it is refused.
 	place(m *loadModel, r *loadRequest) *loadTarget
-	// finished tells of the end of a request.
+	// answered and requested tell of the end of a request of a flow that goes on, and of its
+	// next request.
+	answered(m *loadModel, r *loadRequest)
+	requested(m *loadModel, r *loadRequest)
+	// finished tells of the end of a flow with its last request.
 	finished(m *loadModel, r *loadRequest, served bool)
 	sweep(m *loadModel)
 }
 
-// placementNames names the placements that are compared; the first is the product's.
-var placementNames = [...]string{"packet_plane", "random", "round_robin", "two_choices", "least_own", "oracle"}
+// The product's placements: without learned costs, with what each host learns alone, and with
+// what hosts tell each other.
+const (
+	placementPlane  = "packet_plane"
+	placementAlone  = "learned_alone"
+	placementShared = "learned_shared"
+)
+
+// placementNames names the placements that are compared.
+var placementNames = [...]string{
+	placementPlane, placementAlone, placementShared, "random", "round_robin", "two_choices", "least_own", "oracle",
+}
 
 func newPlacement(name string, m *loadModel, seed uint64) placement {
-	if name != placementNames[0] {
+	switch name {
+	case placementPlane, placementAlone, placementShared:
+	default:
 		return &countedPlacement{name: name, random: rand.New(rand.NewPCG(seed, 11))}
 	}
-	p := &planePlacement{}
+	p := &planePlacement{shares: name == placementShared, random: rand.New(rand.NewPCG(seed, 13))}
 	for i := range m.hosts {
-		p.planes = append(p.planes, packet.NewPlane(rand.New(rand.NewPCG(seed, uint64(i+100)))))
+		p.planes = append(p.planes, packet.NewPlane(rand.New(rand.NewPCG(seed, uint64(i+100))), packet.WithLearnedCosts(name != placementPlane)))
 	}
 	return p
 }
 
 // planePlacement passes the packets of clients through the planes of the product.
-type planePlacement struct{ planes []*packet.Plane }
+type planePlacement struct {
+	planes []*packet.Plane
+	// shares is set if hosts tell each other of speeds, as in the messages of gossip.
+	shares bool
+	random *rand.Rand
+}
 
 func (p *planePlacement) view(m *loadModel) {
 	list := make([]packet.Target, 0, len(m.targets))
@@ -41,7 +63,10 @@
 			list = append(list, t.Target)
 		}
 	}
-	routes := []packet.Route{{Address: loadService, Services: []packet.ServiceShare{{Service: "s", Weight: 1}}}}
+	var routes []packet.Route
+	for i := range m.kinds {
+		routes = append(routes, packet.Route{Address: loadRoute(i), Services: []packet.ServiceShare{{Service: "s", Weight: 1}}})
+	}
 	for i, plane := range p.planes {
 		own := dataCentreOf(i)
 		plane.SetView(packet.NewView(dataCentreName(own), routes, list, packet.WithHosts(m.hostsIn(own), m.hosts, m.hosts)))
@@ -62,18 +87,37 @@
 }
 
 func (p *planePlacement) finished(m *loadModel, r *loadRequest, served bool) {
-	acknowledged := uint32(1)
+	acknowledged := uint32(1 + 100*r.made)
 	if served || !r.target.dead {
-		acknowledged = 101
+		acknowledged += 100
 	}
 	p.planes[r.host].Decide(m.now, &packet.Packet{
-		Flow: r.flow, Tag: r.target.Key.Tag(), Sequence: 102, Acknowledgement: acknowledged, FIN: true,
+		Flow: r.flow, Tag: r.target.Key.Tag(), Sequence: uint32(102 + 100*r.made), Acknowledgement: acknowledged, FIN: true,
+	})
+}
+
+func (p *planePlacement) answered(m *loadModel, r *loadRequest) {
+	p.planes[r.host].Decide(m.now, &packet.Packet{
+		Flow: r.flow, Tag: r.target.Key.Tag(), Sequence: uint32(102 + 100*r.made), Acknowledgement: uint32(101 + 100*r.made),
+	})
+}
+
+func (p *planePlacement) requested(m *loadModel, r *loadRequest) {
+	p.planes[r.host].Decide(m.now, &packet.Packet{
+		Flow: r.flow, Tag: r.target.Key.Tag(), Sequence: uint32(2 + 100*r.made), Acknowledgement: uint32(1 + 100*r.made), Length: 100,
 	})
 }
 
 func (p *planePlacement) sweep(m *loadModel) {
-	for _, plane := range p.planes {
+	for i, plane := range p.planes {
 		plane.Sweep(m.now)
+		if !p.shares {
+			continue
+		}
+		partner := dataCentreOf(i) + loadDataCentres*p.random.IntN(m.hostsIn(dataCentreOf(i)))
+		if partner != i {
+			p.planes[partner].HearSpeeds(m.now, plane.SpeedFacts(m.now, nil, gossip.SpeedFactsPerMessage))
+		}
 	}
 }
 
@@ -167,7 +211,13 @@
 	return best
 }
 
-func (t *loadTarget) backlog() float64 { return float64(t.running+len(t.waiting)+1) * t.slow }
+func (t *loadTarget) backlog() float64 {
+	return (float64(t.running+len(t.waiting)+1) + t.demand) * t.slow
+}
+
+func (p *countedPlacement) answered(*loadModel, *loadRequest) {}
+
+func (p *countedPlacement) requested(*loadModel, *loadRequest) {}
 
 func (p *countedPlacement) finished(_ *loadModel, r *loadRequest, _ bool) {
 	p.own[ownKey{r.host, r.target.Key}]--
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -82,6 +82,8 @@
 	WantedKeys []uint32 `cbor:"10,keyasint,omitempty"`
 	// Contested holds flows whose tags mislead hosts that did not see them open.
 	Contested []ContestedFlow `cbor:"11,keyasint,omitempty"`
+	// Speeds tells what the sender itself saw of the speeds of targets; see EncodeSpeedFacts.
+	Speeds []byte `cbor:"13,keyasint,omitempty"`
 }
 
 type member struct {
@@ -256,6 +258,13 @@
 	return hash
 }
 
+// Shares reports whether the host at an address is in the own data centre.
+func (m *Membership) Shares(address string) bool {
+	return slices.ContainsFunc(m.list, func(o *member) bool {
+		return o.Address == address && o.DataCentre == m.self.DataCentre
+	})
+}
+
 // Partners returns the addresses for the next message: a live host of the own
 // data centre, one of another, and now and then a seed or a silent host, which
 // joins the parts of a fleet again after a partition. A host that knows no live
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -59,6 +59,7 @@
 	PeersChanged          = "peers_changed"
 	ChangesNotFetched     = "changes_not_fetched"
 	FetchRedirected       = "fetch_redirected"
+	TargetSpeeds          = "target_speeds"
 	TargetSilent          = "target_silent"
 	TargetAnswers         = "target_answers"
 	TargetDead            = "target_dead"
@@ -97,7 +98,7 @@
 		TargetEjected, TargetReturned,
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused, SettingsEntryLeftOut,
 		StoreUnreachable, StoreReachable, StoreAsked, StoreRestored, AnswerLeftOut, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
-		TargetSilent, TargetAnswers, TargetDead, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
+		TargetSpeeds, TargetSilent, TargetAnswers, TargetDead, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed, SocketFailed, UnexpectedError, ProcessPaused,
 	}
 }
--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -50,7 +50,7 @@
 		buffer: make([]byte, envelope+datagramLimit), reset: make([]byte, 0, datagramLimit),
 		clientPort: socket.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
 	}
-	f.rebuild = func() { f.plane = packet.NewPlane(n.random()) }
+	f.rebuild = func() { f.plane = packet.NewPlane(n.random(), packet.WithLearnedCosts(n.settings.LearnedCosts)) }
 	f.rebuild()
 	return f
 }
@@ -165,6 +165,7 @@
 	n := f.node
 	f.swept = now
 	f.plane.Sweep(now)
+	f.exchangeSpeeds(now)
 	n.metrics.flows.Set(float64(f.plane.FlowCount()))
 	if n.statusWanted.CompareAndSwap(true, false) {
 		n.targets.Store(&targetReport{at: now, targets: f.plane.Status(now)})
@@ -179,6 +180,7 @@
 // decisionEvents names the log lines of decisions.
 var decisionEvents = map[packet.Reason]string{
 	packet.ReasonPlaced:          logs.FlowPlaced,
+	packet.ReasonPlacedElsewhere: logs.FlowPlaced,
 	packet.ReasonPlacedAgain:     logs.FlowPlacedAgain,
 	packet.ReasonAdopted:         logs.FlowAdopted,
 	packet.ReasonContested:       logs.FlowAdopted,
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"oriolevalve/internal/catalog"
@@ -41,7 +42,13 @@
 	m.Digest, m.LiveHostCount = c.members.Digest(now), c.members.LiveHostCount(now)
 	c.tellContested(now)
 	m.Contested = c.contested.Next(now)
-	c.tell(m, c.members.Partners(now)...)
+	partners := c.members.Partners(now)
+	others := slices.DeleteFunc(slices.Clone(partners), c.members.Shares)
+	c.tell(m, others...)
+	if len(others) < len(partners) {
+		m.Speeds = c.speedFacts(m.LiveHostCount)
+		c.tell(m, slices.DeleteFunc(partners, func(a string) bool { return slices.Contains(others, a) })...)
+	}
 }
 
 func (c *control) message(now time.Duration, contacts []gossip.Contact) gossip.Message {
@@ -138,6 +145,7 @@
 	}
 	c.members.Receive(m, heard)
 	c.hearContested(m, heard)
+	c.hearSpeeds(m)
 	behind := false
 	for i := range m.States {
 		kind, state := catalog.Kind(i), m.States[i]
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -34,7 +34,11 @@
 	gossipDropped prometheus.Counter
 	linesRepeated prometheus.Counter
 	decisionTime  prometheus.Histogram
-	unexpected    [partCount]prometheus.Counter
+	// speedsTold, speedsKnown and speedsUnknown count facts about the speeds of targets, uneven
+	// the targets that are faster and slower than others.
+	speedsTold, speedsKnown, speedsUnknown prometheus.Counter
+	uneven                                 [2]prometheus.Gauge
+	unexpected                             [partCount]prometheus.Counter
 	// version is the configuration in force.
 	version atomic.Uint64
 }
@@ -75,6 +79,14 @@
 	m.heldVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "held_configuration_version", Help: "Version of the configuration that is held against an older one of the store, or 0.",
 	})
+	speeds := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "speed_facts_total", Help: "Facts about the speeds of targets that the host told others, and that others told of targets it knows or not.",
+	}, []string{"outcome"})
+	m.speedsTold, m.speedsKnown, m.speedsUnknown = speeds.WithLabelValues("told"), speeds.WithLabelValues("heard"), speeds.WithLabelValues("unknown_target")
+	uneven := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "uneven_targets", Help: "Targets that are faster or slower than others of their service by what hosts learned.",
+	}, []string{"speed"})
+	m.uneven[0], m.uneven[1] = uneven.WithLabelValues("faster"), uneven.WithLabelValues("slower")
 	unexpected := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "unexpected_errors_total", Help: "Errors of sockets and of the program that ended one input only.",
 	}, []string{"part"})
@@ -99,7 +111,7 @@
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
 		}
 	}
-	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
+	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected, speeds, uneven)
 	return m
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,8 @@
 	targets      atomic.Pointer[targetReport]
 	// contested passes flows whose tags may mislead between the two goroutines.
 	contested contestedExchange
+	// speeds passes what hosts saw of the speeds of targets between them.
+	speeds speedExchange
 	// prepared is closed once the first view is published.
 	prepared chan struct{}
 	// finishing is set once the fabric sends no more packets to a stopping node.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -55,6 +55,10 @@
 	Open       int    `json:"open_flows"`
 	Active     int    `json:"active_flows"`
 	Response   int64  `json:"response_ms"`
+	// Speed is the learned speed against that of the service's other targets, Load what placement
+	// compares. Hosts of builds before learned costs tell neither.
+	Speed float64 `json:"speed"`
+	Load  float64 `json:"load"`
 	// Health is "answers" or the reason why new flows avoid the target.
 	Health string `json:"belief"`
 }
@@ -113,7 +117,7 @@
 	}
 	return TargetStatus{
 		Name: t.Name, Service: t.Service, DataCentre: t.DataCentre, State: t.State.String(), Open: t.OpenFlows, Active: t.ActiveFlows,
-		Response: t.MeanResponseTime.Milliseconds(), Health: belief,
+		Response: t.MeanResponseTime.Milliseconds(), Health: belief, Speed: t.Speed, Load: t.Load,
 	}
 }
 
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -58,6 +58,9 @@
 // The reasons of decisions.
 const (
 	ReasonPlaced Reason = iota
+	// ReasonPlacedElsewhere is that of an opening whose service, drawn by the weights of the
+	// route, had no target or no room, at a target of another service of the route.
+	ReasonPlacedElsewhere
 	ReasonPlacedAgain
 	ReasonCopy
 	ReasonOpen
@@ -81,7 +84,7 @@
 )
 
 var reasonNames = [reasonCount]string{
-	"placed", "placed_again", "copy", "open", "adopted", "contested", "route_unknown", "no_route", "no_target", "not_open",
+	"placed", "placed_elsewhere", "placed_again", "copy", "open", "adopted", "contested", "route_unknown", "no_route", "no_target", "not_open",
 	"target_unknown", "target_gone", "target_dead", "no_configuration", "malformed", "late",
 }
 
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -55,6 +55,11 @@
 	next, acknowledged uint32
 	requested, seen    time.Duration
 	idle               time.Duration
+	// cost is that of the route's requests, if the plane learns it, weight that of the flow in
+	// the load of its target. large is set if the request that waits takes several packets.
+	cost   *routeCost
+	weight int
+	large  bool
 	// repeated is the time of the last packet that the client repeated.
 	repeated time.Duration
 }
@@ -90,16 +95,22 @@
 	// answered holds the latest opening times of flows that were answered, in
 	// ascending order.
 	answered [deadAnswers]time.Duration
+	// costs is what the plane learned of requests; nil if it learns nothing.
+	costs *costs
 }
 
 // NewPlane returns a plane without a view: it drops every packet.
-func NewPlane(random *rand.Rand) *Plane {
-	return &Plane{
+func NewPlane(random *rand.Rand, options ...PlaneOption) *Plane {
+	p := &Plane{
 		random: random, flows: map[Flow]*flowRecord{}, targets: map[TargetKey]*targetRecord{},
 		tags: map[uint32]*targetRecord{}, services: map[string]*service{}, dataCentres: map[string]*dataCentreRecord{},
 		shared: map[SharedIdentity]bool{}, sharedBefore: map[SharedIdentity]bool{},
 		unlisted: map[unlistedKey]unlistedFlow{}, unreadable: map[uint32]bool{}, contested: map[Flow]contestedFlow{},
 	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
 // View returns the view in use; nil before the first.
@@ -122,6 +133,7 @@
 	}
 	gone := p.adoptEntries()
 	p.groupTargets()
+	p.forgetCosts()
 	if gone {
 		p.endFlows(ReasonTargetGone, func(f *flowRecord) bool { return f.target.State == Gone })
 	}
@@ -202,6 +214,21 @@
 	}
 }
 
+// weighSpeeds renews how the learned speeds of targets count.
+func (p *Plane) weighSpeeds(now time.Duration) {
+	if p.costs == nil {
+		return
+	}
+	p.costs.weighRoutes()
+	for name, s := range p.services {
+		even := s.spread == 0
+		s.weighSpeeds(now, p.costs.variance)
+		if even != (s.spread == 0) {
+			p.costs.changes = append(p.costs.changes, SpeedChange{Service: name, Spread: s.spread})
+		}
+	}
+}
+
 // Decide returns what to do with a packet. The time is that since the start of
 // the host and does not go back.
 func (p *Plane) Decide(now time.Duration, k *Packet) Decision {
@@ -242,7 +269,7 @@
 		if lives {
 			return forward(f.target, ReasonCopy)
 		}
-		next := p.place(now, route, f.target, f.previous)
+		next, _ := p.place(now, route, f.target, f.previous)
 		if next == nil || next == f.target {
 			return forward(f.target, ReasonCopy)
 		}
@@ -251,7 +278,7 @@
 		f.previous, f.placed, f.contested = previous, now, true
 		return forward(next, ReasonPlacedAgain)
 	}
-	target := p.place(now, route, nil, nil)
+	target, reason := p.place(now, route, nil, nil)
 	if target == nil {
 		return Decision{Action: Refuse, Reason: ReasonNoTarget}
 	}
@@ -264,9 +291,11 @@
 	*f = flowRecord{
 		target: target, life: target.life, syn: k.Sequence, copies: k.Acknowledgement, next: k.Sequence + 1,
 		active: true, requested: now, seen: now, idle: route.IdleTimeout, placed: now, contested: k.Acknowledgement > 0,
+		cost: p.costOf(k.Flow.Service),
 	}
-	target.opened(now)
-	return forward(target, ReasonPlaced)
+	f.weight = f.cost.flowWeight()
+	target.opened(now, f.weight)
+	return forward(target, reason)
 }
 
 // follow decides on a packet of a flow that the client takes for open.
@@ -352,9 +381,12 @@
 	}
 	f := &flowRecord{
 		target: t, life: t.life, state: flowOpen, next: k.Sequence, acknowledged: k.Acknowledgement, seen: now, idle: route.IdleTimeout,
+		cost: p.costOf(k.Flow.Service),
 	}
+	f.weight = f.cost.flowWeight()
 	p.flows[k.Flow] = f
 	t.open++
+	t.openWeight += f.weight
 	p.observe(now, f, k)
 	return forward(t, reason)
 }
@@ -364,8 +396,12 @@
 	if int32(k.Acknowledgement-f.acknowledged) > 0 {
 		f.acknowledged = k.Acknowledgement
 		if f.active {
+			if p.costs != nil && k.Length == 0 {
+				p.costs.learn(now, f)
+			}
 			f.active = false
 			f.target.active--
+			f.target.activeWeight -= f.weight
 			f.target.answered(now, now-f.requested)
 		} else {
 			f.target.progress(now)
@@ -374,10 +410,12 @@
 	if k.Length > 0 {
 		end := k.Sequence + uint32(k.Length)
 		if int32(end-f.next) > 0 {
+			f.large = f.large && f.active || k.Length >= largeRequest
 			f.next, f.requested = end, now
 			if !f.active && f.state == flowOpen {
 				f.active = true
 				f.target.active++
+				f.target.activeWeight += f.weight
 			}
 		} else {
 			f.target.repeat(now, f)
@@ -389,18 +427,42 @@
 	}
 }
 
-// place returns a target for a new flow, or nil if the route's service has
+// place returns a target for a new flow, or nil if the route's services have
 // none. The excluded targets did not answer and are taken only if there is no
 // other.
-func (p *Plane) place(now time.Duration, route *Route, excluded, alsoExcluded *targetRecord) *targetRecord {
-	s := p.services[p.serviceOf(route)]
-	if s == nil {
-		return nil
+func (p *Plane) place(now time.Duration, route *Route, excluded, alsoExcluded *targetRecord) (t *targetRecord, reason Reason) {
+	drawn := p.serviceOf(route)
+	s := p.services[drawn]
+	if s != nil {
+		t = s.place(now, p.random, excluded, alsoExcluded)
+	}
+	if len(route.Services) > 1 && (t == nil || p.costs != nil && s.fullyUsed(spillFull)) {
+		if other := p.placeElsewhere(now, route, drawn, t == nil, excluded, alsoExcluded); other != nil {
+			return other, ReasonPlacedElsewhere
+		}
 	}
-	if t := s.place(now, p.random, excluded, alsoExcluded); t != nil {
-		return t
+	if t == nil && s != nil {
+		t = excluded
+	}
+	return t, ReasonPlaced
+}
+
+// placeElsewhere returns a target of another service of the route than the drawn one, or nil if
+// none has room. Any that takes flows will do if the flow can't be placed otherwise.
+func (p *Plane) placeElsewhere(
+	now time.Duration, route *Route, drawn string, anyUse bool, excluded, alsoExcluded *targetRecord,
+) *targetRecord {
+	for i := range route.Services {
+		other := &route.Services[i]
+		s := p.services[other.Service]
+		if other.Service == drawn || other.Weight == 0 || s == nil {
+			continue
+		}
+		if t := s.place(now, p.random, excluded, alsoExcluded); t != nil && (anyUse || !s.fullyUsed(spillStart)) {
+			return t
+		}
 	}
-	return excluded
+	return nil
 }
 
 // serviceOf draws the service of a new flow by the weights of its route.
@@ -435,16 +497,18 @@
 		return
 	}
 	f.target.open--
+	f.target.openWeight -= f.weight
 	if f.active {
 		f.active = false
 		f.target.active--
+		f.target.activeWeight -= f.weight
 	}
 }
 
 // move counts a flow that is opening at another target.
 func (p *Plane) move(now time.Duration, f *flowRecord, t *targetRecord) {
 	p.release(f)
-	t.opened(now)
+	t.opened(now, f.weight)
 	f.target, f.life, f.active = t, t.life, true
 }
 
@@ -458,6 +522,7 @@
 // flows within 14 s and 11,000 within 28 s.
 func (p *Plane) Sweep(now time.Duration) {
 	p.measure()
+	p.weighSpeeds(now)
 	p.reconsiderDataCentres(now)
 	p.forgetUnlisted(now)
 	p.forgetContested(now)
--- a/internal/packet/plane_test.go
+++ b/internal/packet/plane_test.go
@@ -191,9 +191,13 @@
 }
 
 func BenchmarkOpenFlow(b *testing.B) {
-	for _, flows := range []int{300, 11_000} {
-		b.Run(fmt.Sprint(flows), func(b *testing.B) {
-			plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+	for _, c := range []struct {
+		flows   int
+		learned bool
+	}{{300, false}, {11_000, false}, {300, true}, {11_000, true}} {
+		flows := c.flows
+		b.Run(fmt.Sprintf("%d/learned=%t", flows, c.learned), func(b *testing.B) {
+			plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)), packet.WithLearnedCosts(c.learned))
 			plane.SetView(fleet(2, 150))
 			packets := make([]packet.Packet, flows)
 			for i := range packets {
@@ -213,9 +217,12 @@
 }
 
 func BenchmarkNewFlow(b *testing.B) {
-	for _, size := range []struct{ services, targets int }{{2, 14}, {2, 150}, {800, 11_000}} {
-		b.Run(fmt.Sprint(size.targets), func(b *testing.B) {
-			plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)))
+	for _, size := range []struct {
+		services, targets int
+		learned           bool
+	}{{2, 14, false}, {2, 150, false}, {800, 11_000, false}, {2, 14, true}, {2, 150, true}, {800, 11_000, true}} {
+		b.Run(fmt.Sprintf("%d/learned=%t", size.targets, size.learned), func(b *testing.B) {
+			plane := packet.NewPlane(rand.New(rand.NewPCG(1, 2)), packet.WithLearnedCosts(size.learned))
 			plane.SetView(fleet(size.services, size.targets))
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/internal/packet/restart_test.go
+++ b/internal/packet/restart_test.go
@@ -55,7 +55,7 @@
 	again := targets[0]
 	again.StartedAtMillis, again.WarmUpEnd = 2000, now+time.Second
 	publish(again)
-	want := packet.TargetStatus{Name: "crashing", Service: "s0", DataCentre: "a", WarmingUp: true}
+	want := packet.TargetStatus{Name: "crashing", Service: "s0", DataCentre: "a", WarmingUp: true, Speed: 1, Load: 1}
 	require.Equal(t, want, status(now))
 
 	// Flows of the former life reach the target, which resets them, and count for
--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -12,6 +12,9 @@
 	// leastCompared is the number of targets of which the least loaded one takes a flow,
 	// however many hosts share them.
 	leastCompared = 3
+	// unevenCompared is the same where targets are known to differ in speed: of four one is
+	// mostly among the faster ones.
+	unevenCompared = 4
 	// spillStart is the use of the slots of the targets at one distance at which new
 	// flows start to go further, spillFull that at which all flows choose freely:
 	// from there on requests wait for a slot longer than the way takes.
@@ -41,6 +44,9 @@
 	// response is the mean response time of the targets that have one.
 	response time.Duration
 	measured time.Duration
+	// spread is the standard deviation of the learned speeds of the targets, as logarithms;
+	// zero while they count as alike.
+	spread float64
 }
 
 // group is the targets of a service at one distance.
@@ -49,6 +55,8 @@
 	// use is the mean number of requests in progress at the targets, by the host's
 	// own count and the number of hosts, for each of their slots.
 	use float64
+	// usual is the mean of the use over some seconds.
+	usual float64
 	// hosts is the number of hosts that share the targets.
 	hosts int
 }
@@ -106,7 +114,7 @@
 	var best [distanceCount]candidate
 	for i := range s.groups {
 		g := &s.groups[i]
-		best[i] = s.least(now, random, g.targets, g.compared(), excluded, alsoExcluded)
+		best[i] = s.least(now, random, g.targets, s.compared(g), excluded, alsoExcluded)
 		// Hosts at the same distance get like shares of the flows.
 		g.use += share(now-s.measured, useSpan) * (best[i].use*float64(g.hosts) - g.use)
 	}
@@ -121,10 +129,26 @@
 	return chosen.target
 }
 
+// fullyUsed reports whether the slots of the targets at every distance are in use to a bound.
+func (s *service) fullyUsed(bound float64) bool {
+	for i := range s.groups {
+		if g := &s.groups[i]; len(g.targets) > 0 && g.use < bound {
+			return false
+		}
+	}
+	return true
+}
+
 // compared returns the number of targets that do not seem dead of which a placement
 // takes the least loaded. If many hosts share the targets, each knows little of their
 // load, and all would take the same one: a new target, which no host has a flow at.
-func (g *group) compared() int { return max(leastCompared, scanLimit/max(1, g.hosts)) }
+func (s *service) compared(g *group) int {
+	least := leastCompared
+	if s.spread > 0 {
+		least = unevenCompared
+	}
+	return max(least, scanLimit/max(1, g.hosts))
+}
 
 // nearer chooses between the best target of a group and that of the groups behind it.
 func (g *group) nearer(own, further candidate, random *rand.Rand) candidate {
--- a/internal/packet/status.go
+++ b/internal/packet/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,6 +16,9 @@
 	OpenFlows, ActiveFlows int
 	// MeanResponseTime is the mean response time; zero before the first.
 	MeanResponseTime time.Duration
+	// Speed is the learned speed against that of the service's other targets; one while they
+	// count as alike. Load is what placement compares.
+	Speed, Load float64
 	// Silent is set if the target gets no new flows while others answer. Repeats,
 	// Unanswered and Silence say why, as in HealthChange; Unreachable is set if its whole
 	// data centre is silent.
@@ -32,7 +36,10 @@
 		s := TargetStatus{
 			Name: t.Name, Service: t.Service, DataCentre: t.DataCentre, State: t.State, OpenFlows: t.open, ActiveFlows: t.active,
 			MeanResponseTime: t.response, Retransmissions: t.repeats, Unanswered: t.unanswered, WarmingUp: now < t.WarmUpEnd, Dead: t.dead && now-t.repeatedAt <= deadRetention,
-			Unreachable: t.unreachable(now), Silent: t.avoided(now),
+			Unreachable: t.unreachable(now), Silent: t.avoided(now), Speed: math.Exp(-t.speed.slowness),
+		}
+		if service := p.services[t.Service]; service != nil && t.Slots > 0 {
+			s.Load = t.load(now, service.response)
 		}
 		if t.silentSince != 0 {
 			s.Silence = now - t.silentSince
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -53,6 +53,10 @@
 	life uint32
 	// open is the number of flows, active that of flows that wait for a response.
 	open, active int
+	// openWeight and activeWeight are the same with the weights of the flows.
+	openWeight, activeWeight int
+	// speed is what was learned of the target's speed.
+	speed speed
 	// silentSince is the time of the first repeat since the last progress; zero
 	// if there was none.
 	silentSince time.Duration
@@ -152,10 +156,12 @@
 }
 
 // opened notes a new flow, whose client has a request to make.
-func (t *targetRecord) opened(now time.Duration) {
+func (t *targetRecord) opened(now time.Duration, weight int) {
 	t.recent = t.recentFlows(now) + 1
 	t.open++
 	t.active++
+	t.openWeight += weight
+	t.activeWeight += weight
 }
 
 // expireSilence forgets a silence that has lasted for long, so that the target is tried again.
@@ -203,7 +209,11 @@
 // load returns the cost of a new flow at the target; mean is the mean response
 // time of the service's targets.
 func (t *targetRecord) load(now, mean time.Duration) float64 {
-	load := (float64(t.open) + activeWeight*float64(t.active) + 1) / float64(t.Slots)
+	load := ((float64(t.openWeight)+activeWeight*float64(t.activeWeight))/flowUnit + 1) / float64(t.Slots)
+	if t.speed.loadFactor > 0 {
+		load *= t.speed.loadFactor
+		mean = time.Duration(float64(mean) * t.speed.timeFactor)
+	}
 	if mean > 0 && t.response > mean && now-t.respondedAt <= responseMemory {
 		load *= float64(t.response) / float64(mean)
 	}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -35,6 +35,9 @@
 	TargetsAge       duration.Duration `json:"targets_age"`
 	// FlowLifetime is the time after which a flow may be discarded.
 	FlowLifetime duration.Duration `json:"flow_lifetime"`
+	// LearnedCosts makes the host learn what requests cost and how fast targets are, and place
+	// new flows by it.
+	LearnedCosts bool `json:"learned_costs"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log_level"`
 }
