--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -97,7 +97,7 @@
 // longKinds are two kinds of requests on long flows and short ones, with a tail.
 func longKinds(tail float64) []loadKind {
 	return []loadKind{
-		{share: 0.78, work: 26 * time.Millisecond, tail: tail, tailFactor: 7, requests: 8, pause: time.Second},
+		{share: 0.78, work: 26 * time.Millisecond, tail: tail, tailFactor: 7, requests: 8, pause: 3 * time.Second},
 		{share: 0.22, work: 33 * time.Millisecond, tail: tail, tailFactor: 7, requests: 2, pause: time.Second},
 	}
 }
