--- a/internal/commands/node_status.go
+++ b/internal/commands/node_status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -77,10 +78,11 @@
 		w.row(l.Name, fmt.Sprint(l.Revision), milliseconds(l.Age), fmt.Sprint(l.Rank))
 	}
 	w.row("")
-	w.row("SERVICE", "TARGET", "DATA CENTRE", "STATE", "OPEN", "ACTIVE", "RESPONSE", "BELIEF")
+	w.row("SERVICE", "TARGET", "DATA CENTRE", "STATE", "OPEN", "ACTIVE", "RESPONSE", "SPEED", "LOAD", "BELIEF")
 	for _, t := range s.Targets {
 		if p.all || t.Open > 0 || t.Health != "answers" {
-			w.row(t.Service, t.Name, t.DataCentre, t.State, fmt.Sprint(t.Open), fmt.Sprint(t.Active), milliseconds(t.Response), belief(&t))
+			w.row(t.Service, t.Name, t.DataCentre, t.State, fmt.Sprint(t.Open), fmt.Sprint(t.Active), milliseconds(t.Response),
+				ratio(t.Speed), ratio(t.Load), belief(&t))
 		}
 	}
 	w.row("")
@@ -95,6 +97,14 @@
 	return fmt.Sprintf("%s (asked %s ago: %s)", t.Health, milliseconds(t.AskedAge), t.Asked)
 }
 
+// ratio formats a value that hosts of earlier builds do not tell.
+func ratio(value float64) string {
+	if value == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(value, 'f', 2, 64)
+}
+
 func milliseconds(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
 
 // process asks each host in turn. A host that does not answer is reported at the
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"oriolevalve/internal/catalog"
@@ -43,7 +44,13 @@
 	m.Contested = c.contested.Next(now)
 	c.tellSuspects(now)
 	m.Suspects = c.suspects.Next(now, m.LiveHostCount)
-	c.tell(m, c.members.Partners(now)...)
+	partners := c.members.Partners(now)
+	others := slices.DeleteFunc(slices.Clone(partners), c.members.Shares)
+	c.tell(m, others...)
+	if len(others) < len(partners) {
+		m.Speeds = c.speedFacts(m.LiveHostCount)
+		c.tell(m, slices.DeleteFunc(partners, func(a string) bool { return slices.Contains(others, a) })...)
+	}
 }
 
 func (c *control) message(now time.Duration, contacts []gossip.Contact) gossip.Message {
@@ -145,6 +152,7 @@
 	c.members.Receive(m, heard)
 	c.hearContested(m, heard)
 	c.hearSuspects(m, heard)
+	c.hearSpeeds(m)
 	behind := false
 	for i := range m.States {
 		kind, state := catalog.Kind(i), m.States[i]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,8 @@
 	// suspicions passes what is found out about targets between them; health asks targets.
 	suspicions suspicionExchange
 	health     HealthClient
+	// speeds passes what hosts saw of the speeds of targets between them.
+	speeds speedExchange
 	// prepared is closed once the first view is published.
 	prepared chan struct{}
 	// finishing is set once the fabric sends no more packets to a stopping node.
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -41,6 +41,9 @@
 	// SharedSuspicions is set if hosts ask a target themselves whether it lives, once its flows
 	// give cause for it, and tell each other of those that do not answer.
 	SharedSuspicions bool `json:"shared_suspicions"`
+	// LearnedCosts makes the host learn what requests cost and how fast targets are, and place
+	// new flows by it.
+	LearnedCosts bool `json:"learned_costs"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log_level"`
 }
