Wait for news of the targets also where the end of an evacuation was missed

Cause: a host that learns all collections anew after an unexpected error knows nothing of an evacuation that was taken back meanwhile; its packet goroutine would have sent flows back at once, and logged nothing.

Change: a requested evacuation that the next view lacks counts as taken back at the last confirmation of the targets.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,7 +1,7 @@
 // Package catalog holds what a host knows of the configuration, the targets and the
-// evacuations of data centres: each with the revision of the platform's store up to which it is complete and
-// the time at which that was last confirmed. It merges answers of the store
-// with news of other hosts and decides when the host asks the store itself. It
+// evacuations of data centres: each with the revision of the platform's store up to
+// which it is complete and the time at which that was last confirmed. It merges
+// answers of the store with news of other hosts and decides when the host asks the store itself. It
 // has no sockets and reads no clock.
 package catalog
 
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -21,10 +21,10 @@
 
 // evacuations returns the evacuations that a view has to know.
 func (c *control) evacuations(now time.Duration) []packet.Evacuation {
-	if !c.follows(catalog.Evacuations) {
-		return nil
+	var known []catalog.Evacuation
+	if c.follows(catalog.Evacuations) {
+		known = c.catalog.Evacuations(now)
 	}
-	known := c.catalog.Evacuations(now)
 	list, requested := make([]packet.Evacuation, 0, len(known)), 0
 	for _, e := range known {
 		if e.Requested {
--- a/internal/packet/evacuation.go
+++ b/internal/packet/evacuation.go
@@ -87,6 +87,18 @@
 			p.evacuationsNew = append(p.evacuationsNew, EvacuationChange{Evacuation: e, LastOpening: p.lastOpening(name)})
 		}
 	}
+	if p.view == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.view.evacuations)) {
+		if _, listed := next.evacuations[name]; listed || !p.view.evacuations[name].Requested {
+			continue
+		}
+		// The end came while the host learned all evacuations anew.
+		e := Evacuation{DataCentre: name, Revision: p.view.evacuations[name].Revision, Since: p.confirmed}
+		p.returns[name] = &dataCentreReturn{lifted: e.Since}
+		p.evacuationsNew = append(p.evacuationsNew, EvacuationChange{Evacuation: e, LastOpening: p.lastOpening(name)})
+	}
 }
 
 // evacuation returns what the view says of the evacuation of a data centre.
