Open the socket for packets first, and link no request plane

Cause: after the loss of all hosts the late requests are those whose first or second copy was sent before a host opened its socket. On 0.045 of a core that takes 176 ms to 257 ms after the start of the process, most of it before main. The configuration of the request plane came in through internal/platform, which only lends the transport (0.42 ms of 2.8 ms of package initialization, three regular expressions). Change: the transport is a package of its own, names in settings are checked without a regular expression, and the socket is opened right after the settings are read, before logs, metrics and other listeners.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,8 @@
 	stopWait  atomic.Int64
 	reload    <-chan struct{}
 	loadAgain func() (settings.Node, error)
+	// packets is the socket for packets if it was opened beforehand.
+	packets *net.UDPConn
 }
 
 // Option changes a node.
@@ -102,6 +104,14 @@
 	return func(n *Node) { n.reload, n.loadAgain = signals, load }
 }
 
+// WithPacketSocket sets the socket for packets, from OpenPacketSocket. Run closes it.
+func WithPacketSocket(c *net.UDPConn) Option { return func(n *Node) { n.packets = c } }
+
+// OpenPacketSocket opens the socket on which a node with the settings takes packets. They wait in
+// its buffer until the node runs. What clients send before is lost, and their next copy comes up
+// to 400 ms later, so a process opens it before anything else.
+func OpenPacketSocket(s settings.Node) (*net.UDPConn, error) { return listenUDP(s.Listen.Packets) }
+
 // New returns a node that is not running.
 func New(
 	s settings.Node, codec Codec,
@@ -130,8 +140,10 @@
 func (n *Node) listen() (*listeners, error) {
 	var l listeners
 	var err error
-	if l.packets, err = listenUDP(n.settings.Listen.Packets); err != nil {
-		return nil, err
+	if l.packets = n.packets; l.packets == nil {
+		if l.packets, err = OpenPacketSocket(n.settings); err != nil {
+			return nil, err
+		}
 	}
 	if l.gossip, err = listenUDP(n.settings.Listen.Gossip); err != nil {
 		return nil, errors.CombineErrors(err, l.close())
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -16,6 +16,7 @@
 	"oriolevalve/internal/clock"
 	"oriolevalve/internal/configuration"
 	"oriolevalve/internal/duration"
+	"oriolevalve/internal/httptransport"
 	"oriolevalve/internal/platform"
 	standin "oriolevalve/internal/standin/platform"
 
@@ -160,7 +161,7 @@
 	var current atomic.Pointer[atomic.Bool]
 	current.Store(&atomic.Bool{})
 	var written atomic.Bool
-	transport := platform.NewTransport()
+	transport := httptransport.New()
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dial(ctx, network, address)
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -17,6 +16,7 @@
 	"time"
 
 	"oriolevalve/internal/clock"
+	"oriolevalve/internal/httptransport"
 	"oriolevalve/internal/rawjson"
 
 	"github.com/cockroachdb/errors"
@@ -27,9 +27,6 @@
 // have gone silent while new ones work.
 const callTimeout = 2 * time.Second
 
-// dialTimeout limits the connection within a call.
-const dialTimeout = time.Second
-
 // HTTPClient is the object API over HTTP. The value is the body, the version
 // is the entity tag, and conditions are those of RFC 9110.
 type HTTPClient struct {
@@ -67,7 +64,7 @@
 		return nil, errors.Newf("platform address %q is not an http or https URL", base)
 	}
 	h := &HTTPClient{
-		base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: NewTransport()}, clock: clock.System{},
+		base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: httptransport.New()}, clock: clock.System{},
 		malformed: func(error) {},
 	}
 	for _, o := range options {
@@ -76,18 +73,6 @@
 	return h, nil
 }
 
-// NewTransport returns the default transport. It uses no proxy, and HTTP/1.1
-// only: with HTTP/2 all calls share one connection, and the end of a call does
-// not replace it when it has gone silent.
-func NewTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     90 * time.Second,
-	}
-}
-
 // Calls returns the counters of the client's calls.
 func (h *HTTPClient) Calls() *Calls { return &h.calls }
 
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"net/url"
 	"os"
-	"regexp"
 	"time"
 
 	"oriolevalve/internal/duration"
@@ -117,16 +116,32 @@
 	return list
 }
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+// nameLimit is the greatest length of a name, in bytes.
+const nameLimit = 63
+
+// validName reports whether a name keeps nameRule.
+func validName(name string) bool {
+	if len(name) == 0 || len(name) > nameLimit || !letterOrDigit(name[0]) || !letterOrDigit(name[len(name)-1]) {
+		return false
+	}
+	for i := range len(name) {
+		if c := name[i]; !letterOrDigit(c) && c != '.' && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+func letterOrDigit(c byte) bool { return 'a' <= c && c <= 'z' || '0' <= c && c <= '9' }
 
 const nameRule = "must be 1 to 63 characters of a-z, 0-9, '.' and '-', with a letter or digit at both ends"
 
 func (h *Host) validate(lookup func(string) (string, bool)) Problems {
 	var p Problems
-	if !namePattern.MatchString(h.HostID) {
+	if !validName(h.HostID) {
 		p.add("host_id", "%s", nameRule)
 	}
-	if !namePattern.MatchString(h.DataCentre) {
+	if !validName(h.DataCentre) {
 		p.add("data_centre", "%s", nameRule)
 	}
 	h.validateAddresses(&p)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -139,17 +139,17 @@
 
 func (n *Node) validate() Problems {
 	var p Problems
-	if !namePattern.MatchString(n.HostID) {
+	if !validName(n.HostID) {
 		p.add("host_id", "%s", nameRule)
 	}
-	if !namePattern.MatchString(n.DataCentre) {
+	if !validName(n.DataCentre) {
 		p.add("data_centre", "%s", nameRule)
 	}
 	for i, d := range n.DataCentres {
-		if !namePattern.MatchString(d.Name) {
+		if !validName(d.Name) {
 			p.add(index("data_centres", i)+".name", "%s", nameRule)
 		}
-		if !namePattern.MatchString(d.Region) {
+		if !validName(d.Region) {
 			p.add(index("data_centres", i)+".region", "%s", nameRule)
 		}
 	}
