Guard targets in their warm-up by claims

Cause: a cold target may get so many new flows a second, summed over all hosts, and the hosts only halved its load (coldFactor).

Change: with the setting warm_up a target in its warm-up takes new flows of the host alone that created its claim in the platform's store, within an allowance of half the bound. Others use warm targets, and refuse with the reason cold if there is none. Without the setting all is as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -105,6 +105,8 @@
 type departure struct {
 	target *Target
 	at     time.Duration
+	// warm is the time at which the target's warm-up ends.
+	warm time.Duration
 	// lost is set if a restored store lacked the entry, which no one had removed.
 	lost bool
 }
@@ -355,7 +357,7 @@
 		// A removal of an unknown object was left out above. The target behind an entry
 		// that another writer spoiled departs with the entry.
 		if old.Target != nil {
-			l.departed[o.Name] = departure{target: l.lastKnown(old, now), at: now}
+			l.departed[o.Name] = departure{target: l.lastKnown(old, now), at: now, warm: now + old.cold(now)}
 		} else if d, found := l.departed[o.Name]; found {
 			d.at = now
 			l.departed[o.Name] = d
@@ -369,7 +371,7 @@
 			delete(l.departed, o.Name)
 		case old != nil && old.Target != nil:
 			// Another writer spoiled the entry: its target may still hold flows.
-			l.departed[o.Name] = departure{target: old.Target, at: now}
+			l.departed[o.Name] = departure{target: old.Target, at: now, warm: now + old.cold(now)}
 		}
 	}
 	entry := &known{Object: *o, noted: noted, learned: now}
@@ -404,7 +406,8 @@
 	object := o.Object
 	if o.Target != nil && o.Target.Warmup > 0 {
 		target := *o.Target
-		target.Warmup = o.cold(now).Milliseconds()
+		// Rounded up, so that no host takes the target for warm too early.
+		target.Warmup = (o.cold(now) + time.Millisecond - 1).Milliseconds()
 		object.Target = &target
 	}
 	return object
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -45,7 +45,7 @@
 			l.applied = append(l.applied, Object{Name: name, Revision: b.Revision, Deleted: true})
 		}
 		if o.Target != nil && (renewed == nil || renewed.Target == nil) {
-			l.departed[name] = departure{target: o.Target, at: now, lost: true}
+			l.departed[name] = departure{target: o.Target, at: now, warm: now + o.cold(now), lost: true}
 		}
 	}
 	// Entries of live targets that the copy lacks are back soon.
--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -199,6 +199,7 @@
 	for name, d := range l.departed {
 		members = append(members, TargetEntry{
 			Target: *d.target, Name: name, Departed: true, Gone: c.gone(l, name, now), Unnamed: unnamed(d.target.Service),
+			WarmUpRemaining: max(0, d.warm-now),
 		})
 	}
 	return members
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -249,6 +249,26 @@
 	return place
 }
 
+// First reports whether this host is the first one for a name among the live hosts of a data
+// centre, or among all if none of those is alive. The order differs by name. Hosts that disagree on
+// who is alive may all be the first.
+func (m *Membership) First(name, dataCentre string, now time.Duration) bool {
+	own, first := xxh3.HashStringSeed(name, xxh3.HashString(m.self.ID)), true
+	for _, o := range m.list {
+		if !m.alive(o, now) {
+			continue
+		}
+		here, ownHere := o.DataCentre == dataCentre, m.self.DataCentre == dataCentre
+		if here && !ownHere {
+			return false
+		}
+		if here == ownHere && xxh3.HashStringSeed(name, o.rank) < own {
+			first = false
+		}
+	}
+	return first
+}
+
 func order(hash uint64, kind catalog.Kind) uint64 {
 	if kind == catalog.Targets {
 		return ^hash
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -82,6 +82,10 @@
 	SocketFailed          = "socket_failed"
 	UnexpectedError       = "unexpected_error"
 	ProcessPaused         = "process_paused"
+	WarmUpClaimed         = "warm_up_claimed"
+	WarmUpNotClaimed      = "warm_up_not_claimed"
+	WarmUpReleased        = "warm_up_released"
+	WarmUpClaimsRemoved   = "warm_up_claims_removed"
 )
 
 // Events returns every event name.
@@ -99,5 +103,6 @@
 		StoreUnreachable, StoreReachable, StoreAsked, StoreRestored, AnswerLeftOut, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
 		TargetSilent, TargetAnswers, TargetDead, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
 		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed, SocketFailed, UnexpectedError, ProcessPaused,
+		WarmUpClaimed, WarmUpNotClaimed, WarmUpReleased, WarmUpClaimsRemoved,
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -67,6 +67,8 @@
 	epochChanged [catalog.KindCount]bool
 	// contested holds the flows of which the host tells others.
 	contested gossip.ContestedFlows
+	// warmUps is nil if the settings set no bound on the new flows of cold targets.
+	warmUps *warmUps
 }
 
 // newControl returns the control state of a node that runs until the context ends.
@@ -102,6 +104,7 @@
 // forgetCollections drops the configuration and the targets. It makes no call to the
 // store before the given time. The published view stays.
 func (c *control) forgetCollections(first time.Duration) {
+	c.warmUps, c.shown = c.newWarmUps(), viewBasis{}
 	c.catalog = catalog.New(
 		catalog.WithRetention(c.settings.FlowLifetime.Std()), catalog.WithConfirmationTimeout(c.settings.TargetsAge.Std()),
 	)
@@ -150,6 +153,7 @@
 	c.ask()
 	c.fetchDue()
 	c.show()
+	c.claimWarmUps(c.node.now())
 	if c.node.now()-c.reported >= reportInterval {
 		c.reportHosts()
 	}
--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -166,6 +166,7 @@
 	f.swept = now
 	f.plane.Sweep(now)
 	n.metrics.flows.Set(float64(f.plane.FlowCount()))
+	n.metrics.coldTargets.Set(float64(f.plane.ColdCount()))
 	if n.statusWanted.CompareAndSwap(true, false) {
 		n.targets.Store(&targetReport{at: now, targets: f.plane.Status(now)})
 	}
@@ -185,6 +186,7 @@
 	packet.ReasonRouteUnknown:    logs.FlowAdopted,
 	packet.ReasonNoRoute:         logs.FlowRefused,
 	packet.ReasonNoTarget:        logs.FlowRefused,
+	packet.ReasonCold:            logs.FlowRefused,
 	packet.ReasonTargetGone:      logs.FlowRefused,
 	packet.ReasonTargetDead:      logs.FlowRefused,
 	packet.ReasonNotOpen:         logs.PacketDropped,
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -7,6 +7,7 @@
 
 	"oriolevalve/internal/catalog"
 	"oriolevalve/internal/packet"
+	"oriolevalve/internal/warmup"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -34,6 +35,9 @@
 	gossipDropped prometheus.Counter
 	linesRepeated prometheus.Counter
 	decisionTime  prometheus.Histogram
+	coldTargets   prometheus.Gauge
+	claimsHeld    prometheus.Gauge
+	claims        [warmup.OperationCount][warmup.OutcomeCount]prometheus.Counter
 	unexpected    [partCount]prometheus.Counter
 	// version is the configuration in force.
 	version atomic.Uint64
@@ -50,6 +54,20 @@
 	m.linesRepeated = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines left out because their event repeated.",
 	})
+	m.coldTargets = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "cold_targets", Help: "Targets whose new flows are limited by their warm-up.",
+	})
+	m.claimsHeld = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "warm_up_claims", Help: "Warm-ups of targets that the host holds.",
+	})
+	claims := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "warm_up_claim_calls_total", Help: "Calls to the platform's store about warm-ups by operation and outcome.",
+	}, []string{"operation", "outcome"})
+	for operation := range warmup.OperationCount {
+		for outcome := range warmup.OutcomeCount {
+			m.claims[operation][outcome] = claims.WithLabelValues(operation.String(), outcome.String())
+		}
+	}
 	m.decisionTime = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "decision_duration_seconds", Help: "Time of the decision on a new flow.",
 		Buckets: prometheus.ExponentialBuckets(1e-6, 4, 8),
@@ -99,7 +117,7 @@
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
 		}
 	}
-	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected)
+	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected, m.coldTargets, m.claimsHeld, claims)
 	return m
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	log      *zap.Logger
 	newStore func(catalog.MalformedFunc) Store
 	codec    Codec
+	claims   ClaimStore
 	random   func() *rand.Rand
 	metrics  *metrics
 	view     atomic.Pointer[packet.View]
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -108,6 +108,10 @@
 		belief = "opening_unanswered"
 	case t.Silent:
 		belief = "data_repeated"
+	case t.Held:
+		belief = "warm_up_held"
+	case t.Guarded:
+		belief = "cold"
 	case t.WarmingUp:
 		belief = "warming_up"
 	}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -15,6 +15,8 @@
 	version    uint64
 	departures catalog.Departures
 	hosts      hostCounts
+	// claims changes with the warm-ups that the host holds.
+	claims uint64
 }
 
 // hostCounts are the numbers of live hosts that share targets, with this one.
@@ -30,7 +32,7 @@
 		return
 	}
 	defer c.noteReady(now)
-	basis := viewBasis{version: configuration.Version, departures: c.catalog.Departures(now), hosts: c.hosts(now)}
+	basis := viewBasis{version: configuration.Version, departures: c.catalog.Departures(now), hosts: c.hosts(now), claims: c.warmUps.version()}
 	for kind := range basis.states {
 		state := c.catalog.State(catalog.Kind(kind), now)
 		basis.states[kind].epoch, basis.states[kind].checksum = state.Epoch, state.Checksum
@@ -40,8 +42,10 @@
 		return
 	}
 	c.shown = basis
+	list := targets(c.catalog.TargetEntries(now), now)
+	c.warmUps.allow(list, configuration, now)
 	first := c.node.view.Swap(packet.NewView(
-		c.node.settings.DataCentre, routes(configuration), targets(c.catalog.TargetEntries(now), now),
+		c.node.settings.DataCentre, routes(configuration), list, packet.WithGuardedWarmUps(c.warmUps != nil),
 		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
 		packet.WithRegions(c.regions), packet.WithCompleteTargets(basis.departures.Complete),
 		packet.WithUnreadableTargets(targetKeys(c.catalog.UnreadableTargets())),
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -77,12 +77,15 @@
 	// ReasonLate is that of an opening packet which may have waited until its client gave
 	// up or opened the flow elsewhere.
 	ReasonLate
+	// ReasonCold is that of an opening packet for which only targets in their warm-up are left,
+	// or whose target is one, and the host may send them no more.
+	ReasonCold
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "placed_again", "copy", "open", "adopted", "contested", "route_unknown", "no_route", "no_target", "not_open",
-	"target_unknown", "target_gone", "target_dead", "no_configuration", "malformed", "late",
+	"target_unknown", "target_gone", "target_dead", "no_configuration", "malformed", "late", "cold",
 }
 
 // String returns the name of the reason in logs and metrics.
@@ -165,4 +168,6 @@
 	StartedAtMillis int64
 	// WarmUpEnd is the time on the plane's clock when the target's warm-up ends.
 	WarmUpEnd time.Duration
+	// WarmUpAllowance is what the host may send the target until then, if warm-ups are guarded.
+	WarmUpAllowance WarmUpAllowance
 }
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -90,6 +90,8 @@
 	// answered holds the latest opening times of flows that were answered, in
 	// ascending order.
 	answered [deadAnswers]time.Duration
+	// warmsAt is the time at which the next guarded warm-up ends; zero if there is none.
+	warmsAt time.Duration
 }
 
 // NewPlane returns a plane without a view: it drops every packet.
@@ -121,7 +123,7 @@
 		p.entered = append(p.entered, p.enter(&v.targets[i]))
 	}
 	gone := p.adoptEntries()
-	p.groupTargets()
+	p.groupTargets(0)
 	if gone {
 		p.endFlows(ReasonTargetGone, func(f *flowRecord) bool { return f.target.State == Gone })
 	}
@@ -149,6 +151,7 @@
 		gone = gone || entry.State == Gone && t.State != Gone && t.open > 0
 		t.Target, t.distance = *entry, p.view.distance(entry)
 		t.dataCentre = p.dataCentreOf(t)
+		t.guarded = p.view.guarded
 		p.enterTag(t)
 	}
 	clear(p.unreadable)
@@ -158,8 +161,10 @@
 	return gone
 }
 
-// groupTargets makes the groups of targets that take new flows anew.
-func (p *Plane) groupTargets() {
+// groupTargets makes the groups of targets that take new flows anew. Warm-ups that end later than
+// the given time go on.
+func (p *Plane) groupTargets(now time.Duration) {
+	p.warmsAt = 0
 	for _, s := range p.services {
 		s.clear()
 	}
@@ -172,12 +177,16 @@
 			s = &service{}
 			p.services[t.Service] = s
 		}
+		if p.admitsNone(now, s, t) {
+			continue
+		}
 		s.add(t)
 	}
 	for name, s := range p.services {
 		if s.empty() {
 			delete(p.services, name)
 		}
+		s.noteSole()
 	}
 }
 
@@ -227,12 +236,12 @@
 	if f != nil && f.syn == k.Sequence && f.state != flowClosed {
 		f.seen = now
 		if f.state == flowOpen || k.Acknowledgement <= f.copies {
-			return forward(f.target, ReasonCopy)
+			return forwardOpening(now, f.target, ReasonCopy)
 		}
 		// The client waited in vain for an answer of the target. If others got one meanwhile,
 		// it was lost on its way, and the target answers the copy as well. One that answers
 		// neither is full: it takes no new flow.
-		lives := f.copies == 0 && f.life == f.target.life && f.target.State != Gone && f.target.answeredSince(f.placed, now)
+		lives := f.copies == 0 && f.life == f.target.life && f.target.State != Gone && f.target.answeredSince(f.placed, now) && f.target.admits(now)
 		f.copies = k.Acknowledgement
 		if f.life == f.target.life {
 			f.target.repeat(now, f)
@@ -240,20 +249,20 @@
 			p.reconsider(now, f.target)
 		}
 		if lives {
-			return forward(f.target, ReasonCopy)
+			return forwardOpening(now, f.target, ReasonCopy)
 		}
 		next := p.place(now, route, f.target, f.previous)
 		if next == nil || next == f.target {
-			return forward(f.target, ReasonCopy)
+			return forwardOpening(now, f.target, ReasonCopy)
 		}
 		previous := f.target
 		p.move(now, f, next)
 		f.previous, f.placed, f.contested = previous, now, true
-		return forward(next, ReasonPlacedAgain)
+		return forwardOpening(now, next, ReasonPlacedAgain)
 	}
 	target := p.place(now, route, nil, nil)
 	if target == nil {
-		return Decision{Action: Refuse, Reason: ReasonNoTarget}
+		return Decision{Action: Refuse, Reason: p.refusalReason(route)}
 	}
 	if f != nil {
 		p.release(f)
@@ -266,7 +275,7 @@
 		active: true, requested: now, seen: now, idle: route.IdleTimeout, placed: now, contested: k.Acknowledgement > 0,
 	}
 	target.opened(now)
-	return forward(target, ReasonPlaced)
+	return forwardOpening(now, target, ReasonPlaced)
 }
 
 // follow decides on a packet of a flow that the client takes for open.
@@ -457,6 +466,7 @@
 // It also renews the mean response times. At four calls a second it visits 300
 // flows within 14 s and 11,000 within 28 s.
 func (p *Plane) Sweep(now time.Duration) {
+	p.endWarmUps(now)
 	p.measure()
 	p.reconsiderDataCentres(now)
 	p.forgetUnlisted(now)
--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -38,6 +38,8 @@
 type service struct {
 	groups [distanceCount]group
 	lapsed []*targetRecord
+	// cold is the number of accepting targets in a guarded warm-up, warm that of the others.
+	cold, warm int
 	// response is the mean response time of the targets that have one.
 	response time.Duration
 	measured time.Duration
@@ -58,10 +60,11 @@
 		s.groups[i].targets = s.groups[i].targets[:0]
 	}
 	s.lapsed = s.lapsed[:0]
+	s.cold, s.warm = 0, 0
 }
 
 func (s *service) empty() bool {
-	count := len(s.lapsed)
+	count := len(s.lapsed) + s.cold
 	for i := range s.groups {
 		count += len(s.groups[i].targets)
 	}
@@ -175,7 +178,7 @@
 	bound := recentFree + recentBound*recent/float64(count)
 	for i, answering := 0, 0; i < count && answering < limit; i++ {
 		t := group[(offset+i)%len(group)]
-		if t == excluded || t == alsoExcluded {
+		if t == excluded || t == alsoExcluded || !t.admits(now) {
 			continue
 		}
 		load, silent := t.load(now, s.response), t.avoided(now)
--- a/internal/packet/status.go
+++ b/internal/packet/status.go
@@ -23,6 +23,9 @@
 	Silence                         time.Duration
 	// WarmingUp is set in the target's warm-up, Dead if flows that may leave it do.
 	WarmingUp, Dead bool
+	// Guarded is set if the target takes new flows of the holder of its warm-up only, Held if that
+	// is this host.
+	Guarded, Held bool
 }
 
 // Status returns what the plane knows of each target, by service and name.
@@ -34,6 +37,7 @@
 			MeanResponseTime: t.response, Retransmissions: t.repeats, Unanswered: t.unanswered, WarmingUp: now < t.WarmUpEnd, Dead: t.dead && now-t.repeatedAt <= deadRetention,
 			Unreachable: t.unreachable(now), Silent: t.avoided(now),
 		}
+		s.Guarded, s.Held = t.cold(now), t.cold(now) && t.WarmUpAllowance != WarmUpAllowance{}
 		if t.silentSince != 0 {
 			s.Silence = now - t.silentSince
 		}
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -89,6 +89,7 @@
 	// leads to it.
 	entry   *Target
 	ownsTag bool
+	warmUpGuard
 }
 
 // startAgain forgets what was learned of the target's former life: its flows are gone,
--- a/internal/packet/view.go
+++ b/internal/packet/view.go
@@ -32,6 +32,8 @@
 	complete bool
 	// unreadable are the keys of entries that can't be read. Their targets may live.
 	unreadable []TargetKey
+	// guarded is set if targets in their warm-up take new flows within an allowance only.
+	guarded bool
 }
 
 // ViewOption changes a View.
@@ -55,6 +57,9 @@
 	return func(v *View) { v.unreadable = keys }
 }
 
+// WithGuardedWarmUps makes targets in their warm-up take new flows within their allowance only.
+func WithGuardedWarmUps(guarded bool) ViewOption { return func(v *View) { v.guarded = guarded } }
+
 // NewView returns a view for one of the hosts of a data centre. Of two routes
 // with one address the first holds.
 func NewView(dataCentre string, routes []Route, targets []Target, options ...ViewOption) *View {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -35,10 +35,19 @@
 	TargetsAge       duration.Duration `json:"targets_age"`
 	// FlowLifetime is the time after which a flow may be discarded.
 	FlowLifetime duration.Duration `json:"flow_lifetime"`
+	// WarmUp bounds the new flows of targets in their warm-up; nil if nothing does.
+	WarmUp *WarmUp `json:"warm_up,omitempty"`
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string `json:"log_level"`
 }
 
+// WarmUp bounds the new flows that all hosts together send a target in its warm-up in a second:
+// Overshoot times the rate that its service's configuration gives, and Slack.
+type WarmUp struct {
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
+}
+
 // DataCentre is a data centre of the fleet.
 type DataCentre struct {
 	Name   string `json:"name"`
@@ -169,6 +178,19 @@
 	checkDuration(&p, "configuration_age", n.ConfigurationAge, 500*time.Millisecond, time.Minute)
 	checkDuration(&p, "targets_age", n.TargetsAge, 500*time.Millisecond, time.Minute)
 	checkDuration(&p, "flow_lifetime", n.FlowLifetime, time.Second, 24*time.Hour)
+	if w := n.WarmUp; w != nil {
+		checkShare(&p, "warm_up.overshoot", w.Overshoot)
+		checkShare(&p, "warm_up.slack", w.Slack)
+	}
 	checkLogLevel(&p, n.LogLevel)
 	return p
 }
+
+// mostShare bounds the figures of a warm-up.
+const mostShare = 1_000_000
+
+func checkShare(p *Problems, path string, value float64) {
+	if value < 0 || value > mostShare {
+		p.add(path, "%g is outside 0 to %d", value, mostShare)
+	}
+}
