--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -20,8 +20,9 @@
 	// LeastLeft is the time that a warm-up has to last for a claim to be worth its calls.
 	LeastLeft = 500 * time.Millisecond
 	// neededShare is the share of a service's slots at targets in their warm-up from which their
-	// capacity counts: a data centre of three, but no release of a few targets at a time.
-	neededShare = 0.25
+	// capacity counts: one data centre of two, or a fleet that starts. Below it the warm ones have room,
+	// and each claim costs two calls.
+	neededShare = 0.5
 	// retryDelay is the pause after a call that failed; after attemptLimit calls the claim is given up.
 	retryDelay   = 200 * time.Millisecond
 	attemptLimit = 4
