--- a/internal/packet/script_test.go
+++ b/internal/packet/script_test.go
@@ -50,8 +50,13 @@
 			// KeyOf names the target whose key this one has.
 			KeyOf string `json:"key_of"`
 			Born  int64  `json:"born_ms"`
+			// WarmUpEnd is the end of the target's warm-up, Shared and Sole the host's allowance.
+			WarmUpEnd int64 `json:"warm_up_end_ms"`
+			Shared    int   `json:"shared"`
+			Sole      int   `json:"sole"`
 		} `json:"targets"`
 		Complete bool `json:"complete"`
+		Guarded  bool `json:"guarded"`
 		// Unreadable are the names of entries that can't be read.
 		Unreadable []string `json:"unreadable"`
 	} `json:"view"`
@@ -105,7 +110,8 @@
 			for _, t := range v.Targets {
 				targets = append(targets, packet.Target{
 					Key: key(cmp.Or(t.KeyOf, t.Name)), Name: t.Name, Service: t.Service, DataCentre: t.DataCentre, Slots: cmp.Or(t.Slots, 20),
-					State: states[t.State], StartedAtMillis: t.Born,
+					State: states[t.State], StartedAtMillis: t.Born, WarmUpEnd: time.Duration(t.WarmUpEnd) * time.Millisecond,
+					WarmUpAllowance: packet.WarmUpAllowance{Shared: t.Shared, Sole: t.Sole},
 				})
 			}
 			var unreadable []packet.TargetKey
@@ -113,7 +119,7 @@
 				unreadable = append(unreadable, key(name))
 			}
 			plane.SetView(packet.NewView(s.DataCentre, routes, targets, packet.WithHosts(max(1, s.Hosts), 1, 1),
-				packet.WithCompleteTargets(v.Complete), packet.WithRegions(s.Regions), packet.WithUnreadableTargets(unreadable)))
+				packet.WithCompleteTargets(v.Complete), packet.WithRegions(s.Regions), packet.WithUnreadableTargets(unreadable), packet.WithGuardedWarmUps(v.Guarded)))
 			fmt.Fprintf(&out, "%dms view: %d routes, %d targets\n", step.At, len(routes), len(targets))
 			for _, x := range plane.SharedIdentities() {
 				fmt.Fprintf(&out, "%dms left out: %s of %s, beside %s\n", step.At, x.Name, x.Service, x.Kept)
