--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -86,6 +86,10 @@
 	UnexpectedError       = "unexpected_error"
 	ProcessPaused         = "process_paused"
 	EvacuationChanged     = "evacuation_changed"
+	WarmUpClaimed         = "warm_up_claimed"
+	WarmUpNotClaimed      = "warm_up_not_claimed"
+	WarmUpReleased        = "warm_up_released"
+	WarmUpClaimsRemoved   = "warm_up_claims_removed"
 )
 
 // Events returns every event name.
@@ -103,5 +107,6 @@
 		StoreUnreachable, StoreReachable, StoreAsked, StoreRestored, AnswerLeftOut, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
 		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed, SocketFailed, UnexpectedError, ProcessPaused, EvacuationChanged,
 		TargetSpeeds, TargetSilent, TargetAnswers, TargetDead, TargetAsked, TargetSuspected, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
+		WarmUpClaimed, WarmUpNotClaimed, WarmUpReleased, WarmUpClaimsRemoved,
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -71,6 +71,8 @@
 	suspects gossip.SuspectedTargets
 	// suspectsHeard is set if another host told of such a target since the last message.
 	suspectsHeard bool
+	// warmUps is nil if the settings set no bound on the new flows of cold targets.
+	warmUps *warmUps
 }
 
 // newControl returns the control state of a node that runs until the context ends.
@@ -106,6 +108,7 @@
 // forgetCollections drops the configuration and the targets. It makes no call to the
 // store before the given time. The published view stays.
 func (c *control) forgetCollections(first time.Duration) {
+	c.warmUps, c.shown = c.newWarmUps(), viewBasis{}
 	c.catalog = catalog.New(
 		catalog.WithRetention(c.settings.FlowLifetime.Std()), catalog.WithConfirmationTimeout(c.settings.TargetsAge.Std()),
 	)
@@ -163,6 +166,7 @@
 	c.ask()
 	c.fetchDue()
 	c.show()
+	c.claimWarmUps(c.node.now())
 	if c.node.now()-c.reported >= reportInterval {
 		c.reportHosts()
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -124,6 +124,10 @@
 		belief = "data_repeated"
 	case t.Suspected:
 		belief = "suspected_by_others"
+	case t.Held:
+		belief = "warm_up_held"
+	case t.Guarded:
+		belief = "cold"
 	case t.WarmingUp:
 		belief = "warming_up"
 	}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -17,6 +17,8 @@
 	hosts      hostCounts
 	// evacuations sums up the evacuations.
 	evacuations string
+	// claims changes with the warm-ups that the host holds.
+	claims uint64
 }
 
 // hostCounts are the numbers of live hosts that share targets, with this one.
@@ -38,6 +40,7 @@
 	evacuations := c.evacuations(now)
 	basis := viewBasis{
 		version: configuration.Version, departures: c.catalog.Departures(now), hosts: c.hosts(now), evacuations: evacuationBasis(evacuations),
+		claims: c.warmUps.version(),
 	}
 	for kind := range basis.states {
 		state := c.catalog.State(catalog.Kind(kind), now)
@@ -48,8 +51,10 @@
 		return
 	}
 	c.shown = basis
+	list := targets(c.catalog.TargetEntries(now), now)
+	c.warmUps.allow(list, configuration, now)
 	first := c.node.view.Swap(packet.NewView(
-		c.node.settings.DataCentre, routes(configuration), targets(c.catalog.TargetEntries(now), now),
+		c.node.settings.DataCentre, routes(configuration), list, packet.WithGuardedWarmUps(c.warmUps != nil),
 		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
 		packet.WithRegions(c.regions), packet.WithCompleteTargets(basis.departures.Complete),
 		packet.WithUnreadableTargets(targetKeys(c.catalog.UnreadableTargets())),
--- a/internal/packet/evacuation.go
+++ b/internal/packet/evacuation.go
@@ -142,7 +142,7 @@
 	previous := f.target
 	p.move(now, f, next)
 	f.previous, f.placed, f.contested = previous, now, true
-	return forward(next, ReasonPlacedAgain)
+	return forwardOpening(now, next, ReasonPlacedAgain)
 }
 
 // drawReturns decides for a new flow whether it may go back to each data centre whose evacuation
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -83,12 +83,15 @@
 	// ReasonEvacuated is that of an opening whose service has targets in evacuated data centres
 	// only.
 	ReasonEvacuated
+	// ReasonCold is that of an opening packet for which only targets in their warm-up are left,
+	// or whose target is one, and the host may send them no more.
+	ReasonCold
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "placed_elsewhere", "placed_again", "copy", "open", "adopted", "contested", "route_unknown", "no_route", "no_target", "not_open",
-	"target_unknown", "target_gone", "target_dead", "no_configuration", "malformed", "late", "evacuated",
+	"target_unknown", "target_gone", "target_dead", "no_configuration", "malformed", "late", "evacuated", "cold",
 }
 
 // String returns the name of the reason in logs and metrics.
@@ -171,4 +174,6 @@
 	StartedAtMillis int64
 	// WarmUpEnd is the time on the plane's clock when the target's warm-up ends.
 	WarmUpEnd time.Duration
+	// WarmUpAllowance is what the host may send the target until then, if warm-ups are guarded.
+	WarmUpAllowance WarmUpAllowance
 }
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -104,6 +104,8 @@
 	inquiry  inquiry
 	// costs is what the plane learned of requests; nil if it learns nothing.
 	costs *costs
+	// warmsAt is the time at which the next guarded warm-up ends; zero if there is none.
+	warmsAt time.Duration
 }
 
 // NewPlane returns a plane without a view: it drops every packet.
@@ -142,7 +144,7 @@
 		p.entered = append(p.entered, p.enter(&v.targets[i]))
 	}
 	gone := p.adoptEntries()
-	p.groupTargets()
+	p.groupTargets(0)
 	p.forgetCosts()
 	if gone {
 		p.endFlows(ReasonTargetGone, func(_ Flow, f *flowRecord) bool { return f.target.State == Gone })
@@ -171,6 +173,7 @@
 		gone = gone || entry.State == Gone && t.State != Gone && t.open > 0
 		t.Target, t.distance = *entry, p.view.distance(entry)
 		t.dataCentre = p.dataCentreOf(t)
+		t.guarded = p.view.guarded
 		p.enterTag(t)
 	}
 	clear(p.unreadable)
@@ -180,8 +183,10 @@
 	return gone
 }
 
-// groupTargets makes the groups of targets that take new flows anew.
-func (p *Plane) groupTargets() {
+// groupTargets makes the groups of targets that take new flows anew. Warm-ups that end later than
+// the given time go on.
+func (p *Plane) groupTargets(now time.Duration) {
+	p.warmsAt = 0
 	for _, s := range p.services {
 		s.clear()
 	}
@@ -198,6 +203,9 @@
 			s.evacuated++
 			continue
 		}
+		if p.admitsNone(now, s, t) {
+			continue
+		}
 		t.returning = p.returns[t.DataCentre]
 		s.add(t)
 	}
@@ -205,6 +213,7 @@
 		if s.empty() {
 			delete(p.services, name)
 		}
+		s.noteSole()
 	}
 }
 
@@ -273,12 +282,12 @@
 			return p.openElsewhere(now, k, route, f)
 		}
 		if f.state == flowOpen || k.Acknowledgement <= f.copies {
-			return forward(f.target, ReasonCopy)
+			return forwardOpening(now, f.target, ReasonCopy)
 		}
 		// The client waited in vain for an answer of the target. If others got one meanwhile,
 		// it was lost on its way, and the target answers the copy as well. One that answers
 		// neither is full: it takes no new flow.
-		lives := f.copies == 0 && f.life == f.target.life && f.target.State != Gone && f.target.answeredSince(f.placed, now)
+		lives := f.copies == 0 && f.life == f.target.life && f.target.State != Gone && f.target.answeredSince(f.placed, now) && f.target.admits(now)
 		f.copies = k.Acknowledgement
 		if f.life == f.target.life {
 			f.target.repeat(now, f)
@@ -287,16 +296,16 @@
 			p.suspect(now, f.target, f.placed, false)
 		}
 		if lives {
-			return forward(f.target, ReasonCopy)
+			return forwardOpening(now, f.target, ReasonCopy)
 		}
 		next, _ := p.place(now, route, f.target, f.previous)
 		if next == nil || next == f.target {
-			return forward(f.target, ReasonCopy)
+			return forwardOpening(now, f.target, ReasonCopy)
 		}
 		previous := f.target
 		p.move(now, f, next)
 		f.previous, f.placed, f.contested = previous, now, true
-		return forward(next, ReasonPlacedAgain)
+		return forwardOpening(now, next, ReasonPlacedAgain)
 	}
 	target, reason := p.place(now, route, nil, nil)
 	if target == nil {
@@ -315,7 +324,7 @@
 	}
 	f.weight = f.cost.flowWeight()
 	target.opened(now, f.weight)
-	return forward(target, reason)
+	return forwardOpening(now, target, reason)
 }
 
 // follow decides on a packet of a flow that the client takes for open.
@@ -466,14 +475,12 @@
 	switch {
 	case t != nil:
 		return t, ReasonPlaced
-	case s == nil:
-		return nil, ReasonNoTarget
-	case excluded != nil && !p.evacuated(excluded):
+	case s != nil && excluded != nil && !p.evacuated(excluded):
 		return excluded, ReasonCopy
-	case s.evacuated > 0:
+	case s != nil && s.evacuated > 0 && s.cold == 0:
 		return nil, ReasonEvacuated
 	default:
-		return nil, ReasonNoTarget
+		return nil, p.refusalReason(route)
 	}
 }
 
@@ -563,6 +570,7 @@
 // It also renews the mean response times. At four calls a second it visits 300
 // flows within 14 s and 11,000 within 28 s.
 func (p *Plane) Sweep(now time.Duration) {
+	p.endWarmUps(now)
 	p.measure()
 	p.weighSpeeds(now)
 	p.reconsiderDataCentres(now)
--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -44,6 +44,8 @@
 	// evacuated is the number of targets that are left out because their data centres are
 	// evacuated.
 	evacuated int
+	// cold is the number of accepting targets in a guarded warm-up, warm that of the others.
+	cold, warm int
 	// response is the mean response time of the targets that have one.
 	response time.Duration
 	measured time.Duration
@@ -69,11 +71,11 @@
 		s.groups[i].targets = s.groups[i].targets[:0]
 	}
 	s.lapsed = s.lapsed[:0]
-	s.evacuated = 0
+	s.evacuated, s.cold, s.warm = 0, 0, 0
 }
 
 func (s *service) empty() bool {
-	count := len(s.lapsed) + s.evacuated
+	count := len(s.lapsed) + s.evacuated + s.cold
 	for i := range s.groups {
 		count += len(s.groups[i].targets)
 	}
@@ -210,7 +212,7 @@
 	bound := recentFree + recentBound*recent/float64(admitted)
 	for i, answering := 0, 0; i < count && answering < limit; i++ {
 		t := group[(offset+i)%len(group)]
-		if t == excluded || t == alsoExcluded || !t.admitted() {
+		if t == excluded || t == alsoExcluded || !t.admitted() || !t.admits(now) {
 			continue
 		}
 		load, silent := t.load(now, s.response), t.avoided(now)
--- a/internal/packet/status.go
+++ b/internal/packet/status.go
@@ -35,6 +35,9 @@
 	DeadByQuestion, Suspected bool
 	Asked                     QuestionOutcome
 	AskedAge                  time.Duration
+	// Guarded is set if the target takes new flows of the holder of its warm-up only, Held if that
+	// is this host.
+	Guarded, Held bool
 }
 
 // Status returns what the plane knows of each target, by service and name.
@@ -54,6 +57,7 @@
 		if service := p.services[t.Service]; service != nil && t.Slots > 0 {
 			s.Load = t.load(now, service.response)
 		}
+		s.Guarded, s.Held = t.cold(now), t.cold(now) && t.WarmUpAllowance != WarmUpAllowance{}
 		if t.silentSince != 0 {
 			s.Silence = now - t.silentSince
 		}
--- a/internal/packet/target.go
+++ b/internal/packet/target.go
@@ -99,6 +99,7 @@
 	returning *dataCentreReturn
 	// suspicion is what questions to the target itself showed.
 	suspicion suspicion
+	warmUpGuard
 }
 
 // startAgain forgets what was learned of the target's former life: its flows are gone,
--- a/internal/packet/view.go
+++ b/internal/packet/view.go
@@ -37,6 +37,8 @@
 	// healthPaths are the paths by service at which its targets say who they are; empty if the
 	// hosts do not ask.
 	healthPaths map[string]string
+	// guarded is set if targets in their warm-up take new flows within an allowance only.
+	guarded bool
 }
 
 // ViewOption changes a View.
@@ -66,6 +68,9 @@
 	return func(v *View) { v.healthPaths = paths }
 }
 
+// WithGuardedWarmUps makes targets in their warm-up take new flows within their allowance only.
+func WithGuardedWarmUps(guarded bool) ViewOption { return func(v *View) { v.guarded = guarded } }
+
 // NewView returns a view for one of the hosts of a data centre. Of two routes
 // with one address the first holds.
 func NewView(dataCentre string, routes []Route, targets []Target, options ...ViewOption) *View {
