--- a/internal/packet/suspicion.go
+++ b/internal/packet/suspicion.go
@@ -342,7 +342,8 @@
 
 // TakeReply learns from the outcome of a question.
 func (p *Plane) TakeReply(now time.Duration, r *Reply) {
-	p.inquiry.running--
+	// A plane that was made anew gets replies to the questions of the one before.
+	p.inquiry.running = max(0, p.inquiry.running-1)
 	t := p.targets[r.Target]
 	if t == nil || t.life != r.life || !t.suspicion.asking {
 		return
