--- a/internal/gossip/admission.go
+++ b/internal/gossip/admission.go
@@ -10,10 +10,10 @@
 	// time. Two keep a link of 10 Mbit/s busy while one of the askers is slow.
 	transferSlots = 2
 	// unconfirmedLimit bounds the bytes of sent collections whose askers have not ended
-	// their connections, if more than transferSlots are to be on their way. They take
-	// 50 ms on a link of 10 Mbit/s, as long as an asker on 0.045 of a core takes for another
-	// source.
-	unconfirmedLimit = 64 << 10
+	// their connections, if more than transferSlots are to be on their way. They take 0.2 s
+	// on a link of 10 Mbit/s, as long as the last of a hundred starting hosts on 0.045 of a
+	// core take when they are sent from source to source.
+	unconfirmedLimit = 256 << 10
 	// queueLimit is the number of askers that wait for a slot: those of one seed
 	// when 1,100 hosts start at once. Each holds a connection.
 	queueLimit = 400
