Check a configuration before it is sent

Operators asked for a check that names errors, entries that can never match, limits that contradict each other and what differs from the version in force. oriolevalve check-config reads a configuration of packet hosts, through a reader in platform/, or declarations of services, prints each finding with file, line and path as text or JSON, and ends with 0, 1 or 2. Tests: scripted configurations in platform/testdata/check, a script for the command line, and the commands of docs/CLI.md.

--- a/cmd/oriolevalve/main.go
+++ b/cmd/oriolevalve/main.go
@@ -6,8 +6,10 @@
 	"os"
 
 	"oriolevalve/internal/commands"
+	"oriolevalve/platform"
 )
 
 func main() {
-	os.Exit(commands.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+	os.Exit(commands.Run(context.Background(), os.Args, os.Stdout, os.Stderr,
+		commands.WithConfigurationReader(platform.ReadConfiguration)))
 }
--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -37,6 +37,7 @@
 		auditCommand(),
 		operationCommand(),
 		checkCommand(),
+		checkConfigCommand(),
 		runCommand(),
 		demoCommand(),
 		replayCommand(),
@@ -49,6 +50,9 @@
 type environment struct {
 	clock       clock.Clock
 	newIdentity func() string
+	// readConfiguration reads the files of `check-config`; nil if the program knows no format but
+	// declarations.
+	readConfiguration configurationReader
 }
 
 // Option changes the surroundings of the commands.
--- a/internal/commands/commands_test.go
+++ b/internal/commands/commands_test.go
@@ -17,6 +17,7 @@
 	"oriolevalve/internal/clock"
 	"oriolevalve/internal/commands"
 	"oriolevalve/pkg/operatorpb"
+	"oriolevalve/platform"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
@@ -138,7 +139,8 @@
 				}
 				code := commands.Run(context.Background(), list, ts.Stdout(), ts.Stderr(),
 					commands.WithClock(clock.NewAutoAdvance(time.Unix(1_800_000_000, 0))),
-					commands.WithIdentitySource(func() string { return "identity-1" }))
+					commands.WithIdentitySource(func() string { return "identity-1" }),
+					commands.WithConfigurationReader(platform.ReadConfiguration))
 				if code != expected {
 					ts.Fatalf("exit code %d, expected %d", code, expected)
 				}
@@ -198,7 +200,8 @@
 		}
 		t.Setenv("ORIOLEVALVE_HOST", f.address)
 		var stdout, stderr strings.Builder
-		code := commands.Run(context.Background(), append([]string{"oriolevalve"}, arguments...), &stdout, &stderr, commands.WithClock(clock.NewAutoAdvance(time.Unix(1_800_000_000, 0))))
+		code := commands.Run(context.Background(), append([]string{"oriolevalve"}, arguments...), &stdout, &stderr,
+			commands.WithClock(clock.NewAutoAdvance(time.Unix(1_800_000_000, 0))), commands.WithConfigurationReader(platform.ReadConfiguration))
 		require.Zero(t, code, "%s: %s", line[1], stderr.String())
 	}
 }
