--- a/internal/commands/experiment.go
+++ b/internal/commands/experiment.go
@@ -18,6 +18,7 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "`NUMBER` that fixes all random choices", Value: 1},
 			&cli.StringFlag{Name: "output", Usage: "`DIRECTORY` for the results", Required: true},
 			&cli.StringSliceFlag{Name: "policy", Usage: "compare only the policy `NAME`; may be repeated"},
+			&cli.StringSliceFlag{Name: "pattern", Usage: "play only the load pattern `NAME`; may be repeated"},
 			&cli.BoolFlag{Name: "quick", Usage: "run only a few small scenarios"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -26,7 +27,7 @@
 			}
 			if err := experiment.Run(ctx, c.Args().First(), experiment.Options{
 				Seed: c.Uint64("seed"), Output: c.String("output"), Clock: clock.System{},
-				Policies: c.StringSlice("policy"), Quick: c.Bool("quick"),
+				Policies: c.StringSlice("policy"), Patterns: c.StringSlice("pattern"), Quick: c.Bool("quick"),
 			}); err != nil {
 				return exit(err, ExitError)
 			}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -21,6 +21,8 @@
 	Clock clock.Clock
 	// Policies limits the policies that are compared. Empty means all.
 	Policies []string
+	// Patterns limits the patterns of load that are played. Empty means all.
+	Patterns []string
 	// Quick reduces an experiment to a few small runs, to check that it works.
 	Quick bool
 }
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -203,6 +203,9 @@
 	var rows []loadRow
 	for i := range sizes {
 		for _, p := range loadPatterns() {
+			if len(o.Patterns) > 0 && !slices.Contains(o.Patterns, p.name) {
+				continue
+			}
 			size := sizes[i]
 			if p.uneven {
 				size = unevenSizes[i]
@@ -217,6 +220,9 @@
 			}
 		}
 	}
+	if len(rows) == 0 {
+		return errors.Newf("no pattern is named %q, or no policy %q", o.Patterns, o.Policies)
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(max(1, runtime.NumCPU()/2))
 	for i := range rows {
