A faster target elsewhere is no reason to leave the data centre

Cause: the best targets of two distances were compared by loads with learned speeds, so a flow could leave the data centre for a faster target. Change: distances are compared by the least load without learned speeds.

--- a/internal/packet/service.go
+++ b/internal/packet/service.go
@@ -165,7 +165,7 @@
 	}
 	// The own count alone is a lower bound that shows a crowd at once.
 	spill := (max(g.use, own.use) - spillStart) / (spillFull - spillStart)
-	if random.Float64() < spill && further.load < own.load {
+	if random.Float64() < spill && further.plain < own.plain {
 		return further
 	}
 	return own
@@ -176,6 +176,9 @@
 	target *targetRecord
 	load   float64
 	silent bool
+	// plain is the least load of the compared targets without their learned speeds: a faster
+	// target elsewhere is no reason to leave the data centre, where a cut would break the flow.
+	plain float64
 	// use is the number of the host's requests in progress for each slot of the
 	// group.
 	use float64
@@ -203,15 +206,26 @@
 			continue
 		}
 		load, silent := t.load(now, s.response), t.avoided(now)
+		if !silent {
+			answering++
+		}
+		plain := load
+		if t.speed.loadFactor > 0 {
+			plain /= t.speed.loadFactor
+		}
 		if t.recent > bound {
 			load += overBound
+			plain += overBound
 		}
-		if !silent {
-			answering++
+		if best.target != nil && best.silent == silent {
+			plain = min(plain, best.plain)
 		}
 		if best.target == nil || best.silent && !silent || best.silent == silent && load < best.load {
 			best = candidate{target: t, load: load, silent: silent}
 		}
+		if best.silent == silent {
+			best.plain = plain
+		}
 	}
 	best.use = float64(active) / float64(slots)
 	return best
