--- a/internal/gossip/changes_test.go
+++ b/internal/gossip/changes_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"net/rpc"
 	"syscall"
 	"testing"
 	"time"
@@ -117,6 +118,23 @@
 	require.ErrorContains(t, err, "connecting")
 }
 
+// Guards against a start of many hosts in which the fast ones stand idle: two askers that are slow to
+// read a small collection must not hold up the third.
+func TestSlowAskersDoNotHoldUpOthers(t *testing.T) {
+	address := serve(t, &answers{batch: catalog.Batch{Whole: true, Revision: 9}})
+	for range 2 {
+		slow, err := rpc.Dial("tcp4", address)
+		require.NoError(t, err)
+		var reply gossip.Reply
+		require.NoError(t, slow.Call("Catalog.Changes", gossip.Question{Kind: uint8(catalog.Targets)}, &reply))
+		require.NotEmpty(t, reply.Batch)
+		t.Cleanup(func() { require.NoError(t, slow.Close()) })
+	}
+	fetched, err := gossip.Fetch(context.Background(), address, catalog.Targets, catalog.Position{})
+	require.NoError(t, err)
+	require.Equal(t, uint64(9), fetched.Batch.Revision)
+}
+
 // Guards against transfers that fill the link of a host: the model of a mass
 // start takes 40 bytes for a target.
 func TestEncodedSize(t *testing.T) {
