Leave evacuated targets out of what speaks against a claim

Cause: warm targets of an evacuated data centre counted as room, so the warm-ups of the only targets that take flows were not claimed. Change: they are left out. TestEvacuatedTargetsAreNoReasonToLeaveWarmUps- Unclaimed fails before.

--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -52,7 +52,7 @@
 	}
 	c.shown = basis
 	list := targets(c.catalog.TargetEntries(now), now)
-	c.warmUps.allow(list, configuration, now)
+	c.warmUps.allow(list, evacuations, configuration, now)
 	first := c.node.view.Swap(packet.NewView(
 		c.node.settings.DataCentre, routes(configuration), list, packet.WithGuardedWarmUps(c.warmUps != nil),
 		packet.WithHosts(basis.hosts.dataCentre, basis.hosts.region, basis.hosts.fleet),
--- a/internal/node/warmup.go
+++ b/internal/node/warmup.go
@@ -61,11 +61,17 @@
 }
 
 // allow sets what the host may send the cold ones of a view's targets, and notes those that it may
-// claim.
-func (w *warmUps) allow(targets []packet.Target, configuration *catalog.Configuration, now time.Duration) {
+// claim. Targets of evacuated data centres take no flows, so they are not counted.
+func (w *warmUps) allow(
+	targets []packet.Target, evacuations []packet.Evacuation, configuration *catalog.Configuration, now time.Duration,
+) {
 	if w == nil {
 		return
 	}
+	evacuated := map[string]bool{}
+	for _, e := range evacuations {
+		evacuated[e.DataCentre] = e.Requested
+	}
 	w.wanted = nil
 	var accepting []warmup.Target
 	cold := false
@@ -78,7 +84,7 @@
 		if t.WarmUpEnd > 0 && w.claims.Holds(life) {
 			t.WarmUpAllowance = w.bound.Allowance(rate)
 		}
-		if t.State == packet.Accepting {
+		if t.State == packet.Accepting && !evacuated[t.DataCentre] {
 			cold = cold || t.WarmUpEnd > 0
 			accepting = append(accepting, warmup.Target{
 				Life: life, Service: t.Service, DataCentre: t.DataCentre, Slots: t.Slots, Rate: rate, End: t.WarmUpEnd,
