--- a/internal/packet/status.go
+++ b/internal/packet/status.go
@@ -50,7 +50,7 @@
 			Unreachable: t.unreachable(now), Silent: t.avoided(now), Evacuated: p.evacuated(t),
 			Speed: math.Exp(-t.speed.slowness),
 		}
-		s.DeadByQuestion, s.Suspected, s.Asked = t.suspicion.condemned(now), t.suspicion.hearsay(now), t.suspicion.outcome
+		s.DeadByQuestion, s.Suspected, s.Asked = t.suspicion.countsAsDead(now), t.suspicion.reportedDead(now), t.suspicion.outcome
 		if t.suspicion.asked != 0 {
 			s.AskedAge = now - t.suspicion.asked
 		}
--- a/internal/packet/suspicion.go
+++ b/internal/packet/suspicion.go
@@ -168,16 +168,18 @@
 // progress drops what speaks against a target that gave a sign of life.
 func (s *suspicion) progress() { s.failed, s.heard, s.dead, s.wanted = 0, 0, false, false }
 
-// hearsay reports whether another host's question failed that nothing has answered since.
-func (s *suspicion) hearsay(now time.Duration) bool {
+// reportedDead reports whether another host's question failed that nothing has answered since.
+func (s *suspicion) reportedDead(now time.Duration) bool {
 	return s.heard > s.alive && now-s.heard <= deadRetention
 }
 
 // avoided reports whether new flows avoid the target.
-func (s *suspicion) avoided(now time.Duration) bool { return s.condemned(now) || s.hearsay(now) }
+func (s *suspicion) avoided(now time.Duration) bool {
+	return s.countsAsDead(now) || s.reportedDead(now)
+}
 
-// condemned reports whether the target counts as dead by questions.
-func (s *suspicion) condemned(now time.Duration) bool {
+// countsAsDead reports whether the target counts as dead by questions.
+func (s *suspicion) countsAsDead(now time.Duration) bool {
 	return s.dead && now-s.failed <= deadRetention
 }
 
@@ -202,9 +204,9 @@
 	return v.hosts[Local] >= manyHosts && v.healthPaths[service] != ""
 }
 
-// mayCondemn reports whether a target can come to count as dead by questions. Those that leave by
+// mayCountAsDead reports whether a target can come to count as dead by questions. Those that leave by
 // plan close their own flows.
-func (p *Plane) mayCondemn(t *targetRecord) bool {
+func (p *Plane) mayCountAsDead(t *targetRecord) bool {
 	return (t.State == Accepting || t.State == Lapsed) && t.entry != nil && p.view.asksTargets(t.Service)
 }
 
@@ -228,7 +230,7 @@
 // time.
 func (p *Plane) suspect(now time.Duration, t *targetRecord, sent time.Duration, first bool) {
 	s := &t.suspicion
-	if t.answeredAt > sent || s.wanted || s.asking || !p.mayCondemn(t) || t.unreachable(now) || first && !p.inquiry.admitEarly(now) {
+	if t.answeredAt > sent || s.wanted || s.asking || !p.mayCountAsDead(t) || t.unreachable(now) || first && !p.inquiry.admitEarly(now) {
 		return
 	}
 	p.want(t, now)
@@ -251,7 +253,7 @@
 // want asks a target from a time on, but not too often.
 func (p *Plane) want(t *targetRecord, from time.Duration) {
 	s := &t.suspicion
-	if s.wanted || s.asking || !p.mayCondemn(t) {
+	if s.wanted || s.asking || !p.mayCountAsDead(t) {
 		return
 	}
 	if s.asked != 0 {
@@ -268,7 +270,7 @@
 // HearNews takes over what another host found out about a target.
 func (p *Plane) HearNews(now time.Duration, n TargetNews) {
 	t := p.targets[n.Target]
-	if t == nil || p.view == nil || n.Lives || !p.mayCondemn(t) {
+	if t == nil || p.view == nil || n.Lives || !p.mayCountAsDead(t) {
 		return
 	}
 	s := &t.suspicion
@@ -288,7 +290,7 @@
 	i := &p.inquiry
 	for _, t := range i.dead {
 		s := &t.suspicion
-		if s.condemned(now) && t.State == Accepting && !s.wanted && !s.asking && now-s.asked >= renewInterval {
+		if s.countsAsDead(now) && t.State == Accepting && !s.wanted && !s.asking && now-s.asked >= renewInterval {
 			p.want(t, now)
 		}
 	}
@@ -301,7 +303,7 @@
 		switch {
 		case !s.wanted:
 			return true
-		case t.silentSince == 0 && !s.dead && !s.hearsay(now), !p.mayCondemn(t):
+		case t.silentSince == 0 && !s.dead && !s.reportedDead(now), !p.mayCountAsDead(t):
 			s.wanted = false
 			return true
 		case now < s.due || !i.admit(now):
@@ -386,9 +388,9 @@
 // judge decides on a target whose question failed, and reports whether that is over.
 func (p *Plane) judge(now time.Duration, t *targetRecord) bool {
 	s := &t.suspicion
-	suspected := t.silentSince != 0 || s.hearsay(now)
+	suspected := t.silentSince != 0 || s.reportedDead(now)
 	switch {
-	case s.failed == 0 || s.dead || !suspected || !p.mayCondemn(t):
+	case s.failed == 0 || s.dead || !suspected || !p.mayCountAsDead(t):
 		return true
 	case s.proofs < proofAnswers || !s.reached || t.unreachable(now):
 		// Without an answer of the target's data centre nothing shows that the way there is
@@ -430,7 +432,7 @@
 // abandoned reports whether the client of a flow is told to open a new one, because the target
 // counts as dead by questions. Those test the target, so that no packet has to.
 func (f *flowRecord) abandoned(now time.Duration, route *Route, k *Packet) bool {
-	return f.target.suspicion.condemned(now) && f.leaves(f.target) && route.Idempotent && k.Length > 0 && !k.RST
+	return f.target.suspicion.countsAsDead(now) && f.leaves(f.target) && route.Idempotent && k.Length > 0 && !k.RST
 }
 
 // leaves reports whether a flow at a target that counts as dead by questions leaves it: it was
@@ -443,7 +445,7 @@
 // ended reports whether a target no longer counts as dead, and notes that.
 func (p *Plane) ended(now time.Duration, t *targetRecord) bool {
 	s := &t.suspicion
-	if s.listed && s.condemned(now) && p.mayCondemn(t) {
+	if s.listed && s.countsAsDead(now) && p.mayCountAsDead(t) {
 		return false
 	}
 	expired := s.dead
