--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # says.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/standins-2
+go build -tags review -o target/review-2/ ./review/standins-2
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standins-2 plays a case of the review against hosts that run as separate processes on
 // loopback. Clients, targets, the routers and the store are stand-ins that follow the users' pages.
 package main
--- a/review/standins-2/pause_and_stop.go
+++ b/review/standins-2/pause_and_stop.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
