--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -166,7 +166,7 @@
 			continue
 		}
 		ownReset := p.flags == flagRST && p.sum == 0 && len(p.data) == 0
-		if !ownReset && !intact(append([]byte(nil), buffer[:n]...)) {
+		if !ownReset && !intact(buffer[:n]) {
 			c.record.violate("MIXED: client %s got a packet from %s that its sender did not write so", c.address.Addr(), from)
 			continue
 		}
--- a/review/standins-2/record.go
+++ b/review/standins-2/record.go
@@ -42,10 +42,12 @@
 	violations []string
 	requests   map[string]*request
 	order      []string
-	holders    map[flowKey]netip.AddrPort
-	openings   map[flowKey]int
-	strays     map[flowKey]int
-	resets     []reset
+	// holders are the targets at which flows are open. openings counts the targets that took an
+	// opening packet of a flow, strays its packets at targets that do not hold it.
+	holders  map[flowKey]netip.AddrPort
+	openings map[flowKey]int
+	strays   map[flowKey]int
+	resets   []reset
 }
 
 func newRecord() *record {
@@ -78,20 +80,20 @@
 }
 
 // opening notes that a target took the opening packet of a flow, opened that the flow is open there.
-func (r *record) opening(key flowKey, _ netip.AddrPort, _ time.Time) {
+func (r *record) opening(key flowKey) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.openings[key]++
 }
 
-func (r *record) opened(key flowKey, at netip.AddrPort, _ time.Time) {
+func (r *record) opened(key flowKey, at netip.AddrPort) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.holders[key] = at
 }
 
 // stray notes that a target took a packet of a flow that it does not hold.
-func (r *record) stray(key flowKey, _ netip.AddrPort, _ time.Time) {
+func (r *record) stray(key flowKey) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.strays[key]++
--- a/review/standins-2/target.go
+++ b/review/standins-2/target.go
@@ -167,7 +167,7 @@
 		if !valid || intended != 0 && intended != t.key {
 			continue
 		}
-		if !intact(append([]byte(nil), buffer[envelopeLength:n]...)) {
+		if !intact(buffer[envelopeLength:n]) {
 			t.record.violate("UNASKED: target %s got a packet of %s that its sender did not write so", t.name, p.from)
 			continue
 		}
@@ -187,12 +187,12 @@
 		delete(t.flows, key)
 	case f == nil, !f.open && p.ack != f.own+1:
 		// The target does not hold the flow: its own sequence number was not acknowledged.
-		t.record.stray(key, t.address, now)
+		t.record.stray(key)
 		t.send(&segment{echo: p.echo, from: p.to, to: p.from, sequence: p.ack, flags: flagRST})
 	case f.ended:
 		t.answerEnded(p)
 	default:
-		t.follow(now, key, f, p)
+		t.follow(key, f, p)
 	}
 }
 
@@ -201,7 +201,7 @@
 		f = &targetFlow{first: p.sequence, own: rand.Uint32(), expected: p.sequence + 1, repeat: firstRepeat}
 		f.next = f.own + 1
 		t.flows[key] = f
-		t.record.opening(key, t.address, now)
+		t.record.opening(key)
 	}
 	f.echo = p.echo
 	if f.open {
@@ -213,11 +213,11 @@
 	t.resend(f)
 }
 
-func (t *target) follow(now time.Time, key flowKey, f *targetFlow, p *segment) {
+func (t *target) follow(key flowKey, f *targetFlow, p *segment) {
 	f.echo = p.echo
 	if !f.open {
 		f.open, f.unacknowledged = true, nil
-		t.record.opened(key, t.address, now)
+		t.record.opened(key, t.address)
 	}
 	if u := f.unacknowledged; u != nil && int32(p.ack-(u.sequence+uint32(len(u.data)))) >= 0 {
 		f.unacknowledged = nil
--- a/review/standins-2/wire.go
+++ b/review/standins-2/wire.go
@@ -38,12 +38,13 @@
 
 func (s *segment) has(flag byte) bool { return s.flags&flag != 0 }
 
-// checksum is the sum of all fields but echo, pad and BOUNCED. Its key is known to clients and
-// targets only.
+// checksumKey is known to clients and targets only.
+const checksumKey = "review key"
+
+// checksum is the keyed sum of all fields of a packet but echo, pad and BOUNCED.
 func checksum(packet []byte) uint32 {
-	covered := append([]byte("review key"), packet...)
-	covered = covered[:len("review key")+len(packet)]
-	header := covered[len("review key"):]
+	covered := append([]byte(checksumKey), packet...)
+	header := covered[len(checksumKey):]
 	clear(header[0:4])
 	clear(header[16:20])
 	header[28] &^= flagBounced
