review: the scripts of cases 6 to 8 end their hosts however they end

A signal to a script reached its shell only, and a stop while the fleet started left hosts behind. The program takes the place of the shell now, keeps settings and logs in a temporary folder of its own, and hosts end with it.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -10,6 +10,5 @@
     exit 2
   fi
 done
-folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
-target/review-2/standins-2 --case pause-and-return --record "$here/record.txt" --directory "$folder"
+# The program takes the place of this shell, so signals reach it. It ends its hosts when it ends.
+exec target/review-2/standins-2 --case pause-and-return --record "$here/record.txt"
--- a/review/standins-2/host.go
+++ b/review/standins-2/host.go
@@ -72,6 +72,8 @@
 	command := exec.Command(h.program)
 	command.Env = append(os.Environ(), settingsVariable+"="+h.settings)
 	command.Stdout, command.Stderr = log, log
+	// A host ends with this process, however that ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return err
 	}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -34,21 +34,27 @@
 	name := flag.String("case", "", "the case to play")
 	program := flag.String("program", "target/oriolevalve-node", "the program of a host")
 	path := flag.String("record", "record.txt", "the file for what was sent, answered and run")
-	directory := flag.String("directory", os.TempDir(), "the folder for settings and logs")
 	flag.Parse()
-	os.Exit(play(*name, *program, *path, *directory, os.Getenv("TROUBLE") != "0"))
+	os.Exit(play(*name, *program, *path, os.Getenv("TROUBLE") != "0"))
 }
 
 // play plays a case and returns the exit code.
-func play(name, program, path, directory string, trouble bool) int {
+func play(name, program, path string, trouble bool) int {
 	s, found := scenarios[name]
 	if !found {
 		fmt.Fprintf(os.Stderr, "there is no case %q\n", name)
 		return exitCannotRun
 	}
+	// Settings and logs of the hosts.
+	directory, err := os.MkdirTemp("", "oriolevalve-review-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		return exitCannotRun
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
 	r := newRecord()
 	f, err := startFleet(s.shape, program, directory, r)
-	go stopOnSignal(f)
+	go stopOnSignal(f, directory)
 	if err == nil {
 		err = s.play(f, trouble)
 	}
@@ -74,12 +80,13 @@
 }
 
 // stopOnSignal ends all processes if this one is to end early.
-func stopOnSignal(f *fleet) {
+func stopOnSignal(f *fleet, directory string) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
 	if f != nil {
 		f.stop()
 	}
+	_ = os.RemoveAll(directory)
 	os.Exit(exitCannotRun)
 }
