--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -43,7 +43,11 @@
 	version      int
 }
 
-const deskService = "desk"
+// The service of the targets, and the port of its route.
+const (
+	deskService = "desk"
+	deskPort    = 8443
+)
 
 // address returns a loopback address of this run.
 func (f *fleet) address(third, fourth int) netip.Addr {
@@ -63,8 +67,9 @@
 func startFleet(s shape, program, directory string, r *record) (*fleet, error) {
 	f := &fleet{
 		zones: s.zones, network: byte(20 + rand.IntN(200)), store: newStore(), record: r, fabric: newFabric(s.zones[0], r),
-		desk: netip.MustParseAddrPort("198.18.0.1:8443"), version: 7,
+		version: 7,
 	}
+	f.desk = netip.AddrPortFrom(f.address(5, 1), deskPort)
 	for _, port := range []*uint16{&f.ports.packets, &f.ports.gossip, &f.ports.ready, &f.ports.metrics} {
 		var err error
 		if *port, err = freePort(f.address(1, 1)); err != nil {
--- a/review/standins-2/target.go
+++ b/review/standins-2/target.go
@@ -18,7 +18,7 @@
 const (
 	heartbeat  = 1200 * time.Millisecond
 	slots      = 2
-	queueLimit = 64
+	queueLimit = 8
 	workTime   = 3 * time.Millisecond
 	// tickInterval is the time between two looks at what is due.
 	tickInterval = 5 * time.Millisecond
@@ -223,12 +223,14 @@
 		f.unacknowledged = nil
 	}
 	if len(p.data) > 0 {
-		if p.sequence == f.expected {
-			f.expected += uint32(len(p.data))
-			f.received += string(p.data)
-			t.take(key, f)
+		if p.sequence != f.expected {
+			t.emit(key, f, flagACK, "")
+			return
 		}
-		t.emit(key, f, flagACK, "")
+		// A request is one packet, which its answer acknowledges.
+		f.expected += uint32(len(p.data))
+		f.received += string(p.data)
+		t.take(key, f)
 	}
 	if p.has(flagFIN) && p.sequence == f.expected {
 		f.expected++
