Tell contested openings before they are open, and leave none out

Cause: only the host that saw a contested flow open told others, and only of the first few. - If the end of the handshake reached another host than the opening, no host knew that the flow is contested, or the one that knew did not see it open. - 256 flows found room on each of three ways between two hosts, eight in a message. Later ones were dropped without a trace. - A host that started heard of one flow in each message, and took packets long before the last. - A host that was stopped told those again that it had told, and not those that waited. - A flow was remembered for 30 s, but flows live for a minute.

Change: a host tells of an opening when it sends it to a second target, or takes a copy whose first packet it did not see. The host that sees the flow's first packet, before or after that news, tells where it opened. If several take a repeat of it, the earliest is believed. 4,096 flows are kept for the lifetime of flows, and the oldest that were told give way; a counter shows flows that were told to nobody. A host that starts is told all flows by those that hear it, and a host that leaves tells its own again. On the wire an opening is a flow without a target. A host of an earlier build takes that for a target it does not know and follows the tag, as without the news.

--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -27,6 +27,9 @@
 	// contacts is the number of hosts that a message names beside those that
 	// watch; digests tell of the others.
 	contacts = 1
+	// neighbourLimit is the number of other hosts of a data centre up to which news that can't
+	// wait go to all of them.
+	neighbourLimit = 8
 )
 
 // Host is a host as others reach it.
@@ -327,6 +330,21 @@
 	return partners
 }
 
+// Neighbours returns the addresses of the live hosts of the own data centre if they are few enough
+// to be told something at once.
+func (m *Membership) Neighbours(now time.Duration) []string {
+	var list []string
+	for _, o := range m.list {
+		if o.DataCentre == m.self.DataCentre && m.alive(o, now) {
+			list = append(list, o.Address)
+		}
+	}
+	if len(list) > neighbourLimit {
+		return nil
+	}
+	return list
+}
+
 func (m *Membership) draw(group []string) []string {
 	if len(group) == 0 {
 		return nil
--- a/internal/node/contested.go
+++ b/internal/node/contested.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"oriolevalve/internal/catalog"
 	"oriolevalve/internal/gossip"
 	"oriolevalve/internal/logs"
 	"oriolevalve/internal/packet"
@@ -12,93 +14,121 @@
 	"go.uber.org/zap"
 )
 
-// contestedQueue bounds the flows that wait for the other goroutine.
-const contestedQueue = 256
+const (
+	// contestedQueue bounds the flows that wait for the other goroutine; the oldest give way.
+	contestedQueue = 4096
+	// contestedMessages bounds the messages between two looks at what is due.
+	contestedMessages = 8
+	// toldAllAgain is the time after which a host that still starts is told all again.
+	toldAllAgain = time.Second
+)
 
 // contestedExchange passes contested flows between the goroutine of packets and that of the control
-// state. What finds no room is left out.
+// state.
 type contestedExchange struct {
-	mutex  sync.Mutex
-	opened []packet.ContestedFlow
-	heard  []contestedNews
-	// unread is set while heard is not empty.
+	mutex       sync.Mutex
+	seen, heard []packet.ContestedFlow
+	// left is the number of flows that found no room; unread is set while heard is not empty.
+	left   int
 	unread atomic.Bool
 }
 
-// contestedNews is a flow that opened through another host at a time.
-type contestedNews struct {
-	flow   packet.ContestedFlow
-	opened time.Duration
+func (e *contestedExchange) add(queue *[]packet.ContestedFlow, flows ...packet.ContestedFlow) {
+	*queue = append(*queue, flows...)
+	if over := len(*queue) - contestedQueue; over > 0 {
+		e.left += over
+		*queue = (*queue)[over:]
+	}
 }
 
-// putOpened passes flows that opened through this host to the control goroutine.
-func (e *contestedExchange) putOpened(flows []packet.ContestedFlow) {
+// putSeen passes flows that this host saw to the control goroutine.
+func (e *contestedExchange) putSeen(flows []packet.ContestedFlow) {
 	if len(flows) == 0 {
 		return
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.opened = append(e.opened, flows[:min(len(flows), contestedQueue-len(e.opened))]...)
+	e.add(&e.seen, flows...)
 }
 
-// takeOpened returns the flows that opened through this host.
-func (e *contestedExchange) takeOpened() []packet.ContestedFlow {
+// takeSeen returns the flows that this host saw, and the number of those that found no room in
+// either direction.
+func (e *contestedExchange) takeSeen() (flows []packet.ContestedFlow, left int) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	flows := e.opened
-	e.opened = nil
-	return flows
+	flows, left = e.seen, e.left
+	e.seen, e.left = nil, 0
+	return flows, left
 }
 
-// putHeard passes a flow that opened through another host to the goroutine of packets.
-func (e *contestedExchange) putHeard(n contestedNews) {
+// putHeard passes a flow that another host told of to the goroutine of packets.
+func (e *contestedExchange) putHeard(c packet.ContestedFlow) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if len(e.heard) < contestedQueue {
-		e.heard = append(e.heard, n)
-	}
+	e.add(&e.heard, c)
 	e.unread.Store(true)
 }
 
-// takeHeard returns the flows that opened through other hosts.
-func (e *contestedExchange) takeHeard() []contestedNews {
+// takeHeard returns the flows that other hosts told of.
+func (e *contestedExchange) takeHeard() []packet.ContestedFlow {
 	if !e.unread.Load() {
 		return nil
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	news := e.heard
+	flows := e.heard
 	e.heard = nil
 	e.unread.Store(false)
-	return news
+	return flows
 }
 
-// tellContested takes the contested flows that opened through this host into the messages to
-// others. It reports whether there are any.
-func (c *control) tellContested(now time.Duration) bool {
-	flows := c.node.contested.takeOpened()
+// takeContested takes the contested flows that this host saw into the messages to others.
+func (c *control) takeContested(now time.Duration) {
+	flows, left := c.node.contested.takeSeen()
 	for _, f := range flows {
-		c.contested.Add(gossip.ContestedFlow{
-			Client: f.Flow.Client, Service: f.Flow.Service, Target: uint64(f.Target), Sequence: f.Sequence,
-		}, now)
+		c.contested.Add(f, true, now)
+	}
+	c.node.metrics.contestedLeftOut.Add(float64(left + c.contested.TakeLeftOut()))
+}
+
+// tellContested sends messages while contested flows wait for them. It reports whether it sent any.
+func (c *control) tellContested(now time.Duration) bool {
+	c.takeContested(now)
+	told := false
+	for range contestedMessages {
+		if !c.contested.Urgent() {
+			break
+		}
+		c.speak()
+		told = true
+	}
+	return told
+}
+
+// tellAllContested tells a host that starts of all contested flows: it may take packets of them as
+// soon as it is ready.
+func (c *control) tellAllContested(m *gossip.Message, now time.Duration) {
+	maps.DeleteFunc(c.toldAll, func(_ string, at time.Duration) bool { return now-at > toldAllAgain })
+	if _, told := c.toldAll[m.From.ID]; told || m.States[catalog.Targets].Valid {
+		return
+	}
+	c.toldAll[m.From.ID] = now
+	for _, part := range c.contested.All(now) {
+		answer := c.message(now, nil)
+		answer.Answer, answer.Contested = true, part
+		c.tell(answer, m.From.Address)
 	}
-	return len(flows) > 0
 }
 
 // hearContested takes over what another host says of contested flows.
 func (c *control) hearContested(m *gossip.Message, now time.Duration) {
-	for _, f := range m.Contested {
-		if !c.contested.Add(f, now) {
+	for i := range m.Contested {
+		f := m.Contested[i].Flow(now)
+		if !c.contested.Add(f, false, now) {
 			continue
 		}
-		opened := now - time.Duration(f.Age)*time.Millisecond
-		c.node.log.Info(logs.FlowContested, zap.Stringer("client", f.Client), zap.Stringer("service", f.Service),
-			zap.Uint64("target_key", f.Target), zap.String("source", m.From.ID), zap.Duration("age", now-opened))
-		c.node.contested.putHeard(contestedNews{
-			flow: packet.ContestedFlow{
-				Flow: packet.Flow{Client: f.Client, Service: f.Service}, Target: packet.TargetKey(f.Target), Sequence: f.Sequence,
-			},
-			opened: opened,
-		})
+		c.node.log.Info(logs.FlowContested, zap.Stringer("client", f.Flow.Client), zap.Stringer("service", f.Flow.Service),
+			zap.Uint64("target_key", uint64(f.Target)), zap.String("source", m.From.ID), zap.Duration("age", now-f.Opened))
+		c.node.contested.putHeard(f)
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -65,8 +65,10 @@
 	// epochChanged is set for a collection of which another host has a later epoch: all of
 	// its objects are fetched.
 	epochChanged [catalog.KindCount]bool
-	// contested holds the flows of which the host tells others.
-	contested gossip.ContestedFlows
+	// contested holds the flows of which the host tells others, toldAll the times at which hosts
+	// that start were told all of them.
+	contested *gossip.ContestedFlows
+	toldAll   map[string]time.Duration
 	// suspects holds the targets of which the host tells others.
 	suspects gossip.SuspectedTargets
 	// suspectsHeard is set if another host told of such a target since the last message.
@@ -81,7 +83,8 @@
 	c := &control{
 		node: n, settings: n.settings, socket: socket, port: local.Port(), context: ctx,
 		self:  gossip.Host{ID: n.settings.HostID, DataCentre: n.settings.DataCentre, Address: local.Addr().String()},
-		tasks: make(chan func(), taskLimit),
+		tasks: make(chan func(), taskLimit), contested: gossip.NewContestedFlows(n.settings.FlowLifetime.Std()),
+		toldAll: map[string]time.Duration{},
 	}
 	c.regions = regions(n.settings.DataCentres)
 	c.store = n.newStore(c.malformed)
@@ -171,7 +174,8 @@
 	if c.node.now()-c.reported >= reportInterval {
 		c.reportHosts()
 	}
-	if c.tellContested(c.node.now()) || c.tellSuspects(c.node.now()) || c.node.now()-c.spoken >= gossip.Interval {
+	told := c.tellContested(c.node.now())
+	if c.tellSuspects(c.node.now()) || !told && c.node.now()-c.spoken >= gossip.Interval {
 		c.speak()
 	}
 }
@@ -205,6 +209,8 @@
 	c.do(func() {
 		c.leaving = true
 		c.noteReady(c.node.now())
+		// Flows that opened through this host go on through others.
+		c.contested.TellOwnAgain()
 		c.speak()
 	})
 }
--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -52,7 +52,9 @@
 		buffer: make([]byte, envelope+datagramLimit), reset: make([]byte, 0, datagramLimit),
 		clientPort: socket.LocalAddr().(*net.UDPAddr).AddrPort().Port(),
 	}
-	f.rebuild = func() { f.plane = packet.NewPlane(n.random(), packet.WithLearnedCosts(n.settings.LearnedCosts)) }
+	f.rebuild = func() {
+		f.plane = packet.NewPlane(n.random(), packet.WithLearnedCosts(n.settings.LearnedCosts), packet.WithFlowLifetime(n.settings.FlowLifetime.Std()))
+	}
 	f.rebuild()
 	return f
 }
@@ -109,7 +111,7 @@
 	}
 	f.plane.ConfirmTargets(confirmed)
 	for _, news := range n.contested.takeHeard() {
-		f.plane.AddContestedFlow(news.flow, news.opened)
+		f.plane.AddContestedFlow(news)
 	}
 	f.judge(now)
 	if now-f.swept > sweepInterval {
@@ -129,7 +131,7 @@
 	if d.Reason != packet.ReasonOpen {
 		n.logDecision(k, &d)
 	}
-	n.contested.putOpened(f.plane.ContestedFlows())
+	n.contested.putSeen(f.plane.ContestedFlows())
 	for _, q := range f.plane.Questions(now) {
 		go n.question(q)
 	}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -40,11 +40,14 @@
 	c.spoken = now
 	m := c.message(now, c.members.Contacts(now))
 	m.Digest, m.LiveHostCount = c.members.Digest(now), c.members.LiveHostCount(now)
-	c.tellContested(now)
+	c.takeContested(now)
+	partners := c.members.Partners(now)
+	if c.contested.Urgent() {
+		partners = appendMissing(partners, c.members.Neighbours(now))
+	}
 	m.Contested = c.contested.Next(now)
 	c.tellSuspects(now)
 	m.Suspects = c.suspects.Next(now, m.LiveHostCount)
-	partners := c.members.Partners(now)
 	others := slices.DeleteFunc(slices.Clone(partners), c.members.Shares)
 	c.tell(m, others...)
 	if len(others) < len(partners) {
@@ -53,6 +56,15 @@
 	}
 }
 
+func appendMissing(list, more []string) []string {
+	for _, address := range more {
+		if !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 func (c *control) message(now time.Duration, contacts []gossip.Contact) gossip.Message {
 	m := gossip.Message{From: c.self, Leaving: c.leaving, Contacts: contacts}
 	for kind := range m.States {
@@ -148,6 +160,7 @@
 	heard -= c.node.pauses.delay(heard)
 	c.members.Receive(m, heard)
 	c.hearContested(m, heard)
+	c.tellAllContested(m, now)
 	c.hearSuspects(m, heard)
 	c.hearSpeeds(m)
 	behind := false
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -34,15 +34,17 @@
 	heldVersion   prometheus.Gauge
 	evacuated     prometheus.Gauge
 	gossipDropped prometheus.Counter
-	linesRepeated prometheus.Counter
-	decisionTime  prometheus.Histogram
-	coldTargets   prometheus.Gauge
-	claimsHeld    prometheus.Gauge
-	claims        [warmup.OperationCount][warmup.OutcomeCount]prometheus.Counter
-	unexpected    [partCount]prometheus.Counter
-	asked         [packet.QuestionOutcomeCount]prometheus.Counter
-	suspectsHeard prometheus.Counter
-	verdicts      prometheus.Counter
+	// contestedLeftOut counts contested flows that others were not told of.
+	contestedLeftOut prometheus.Counter
+	linesRepeated    prometheus.Counter
+	decisionTime     prometheus.Histogram
+	coldTargets      prometheus.Gauge
+	claimsHeld       prometheus.Gauge
+	claims           [warmup.OperationCount][warmup.OutcomeCount]prometheus.Counter
+	unexpected       [partCount]prometheus.Counter
+	asked            [packet.QuestionOutcomeCount]prometheus.Counter
+	suspectsHeard    prometheus.Counter
+	verdicts         prometheus.Counter
 	// speedsTold, speedsKnown and speedsUnknown count facts about the speeds of targets, uneven
 	// the targets that are faster and slower than others.
 	speedsTold, speedsKnown, speedsUnknown prometheus.Counter
@@ -58,6 +60,9 @@
 		gossipDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "gossip_dropped_total", Help: "Messages of hosts dropped because the host was busy.",
 		}),
+		contestedLeftOut: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "contested_flows_left_out_total", Help: "Contested flows left out of messages for lack of room.",
+		}),
 	}
 	m.linesRepeated = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines left out because their event repeated.",
@@ -148,7 +153,7 @@
 			m.calls[kind][outcome] = calls.WithLabelValues(kind.String(), name)
 		}
 	}
-	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.evacuated, m.flows, m.gossipDropped, m.linesRepeated, m.decisionTime, unexpected, speeds, uneven, asked, m.verdicts, m.suspectsHeard, m.coldTargets, m.claimsHeld, claims)
+	m.registry.MustRegister(decisions, calls, ages, revisions, epochs, leftOut, m.heldVersion, m.evacuated, m.flows, m.gossipDropped, m.contestedLeftOut, m.linesRepeated, m.decisionTime, unexpected, speeds, uneven, asked, m.verdicts, m.suspectsHeard, m.coldTargets, m.claimsHeld, claims)
 	return m
 }
 
--- a/internal/packet/contested_test.go
+++ b/internal/packet/contested_test.go
@@ -43,14 +43,13 @@
 	lost := opening.Decide(0, syn(1, 0))
 	own := opening.Decide(200*time.Millisecond, syn(1, 1))
 	require.NotEqual(t, lost.Target, own.Target)
-	require.Empty(t, opening.ContestedFlows(), "it is not open")
+	flow := packet.Flow{Client: clientAddress(1), Service: serviceAddress(0)}
+	require.Equal(t, []packet.ContestedFlow{{Flow: flow, Sequence: 1}}, opening.ContestedFlows(), "it is not open")
 	opening.Decide(204*time.Millisecond, data(1, own.Tag, 2))
 	news := opening.ContestedFlows()
-	require.Equal(t, []packet.ContestedFlow{{
-		Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(0)}, Target: own.Target, Sequence: 2,
-	}}, news)
+	require.Equal(t, []packet.ContestedFlow{{Flow: flow, Target: own.Target, Sequence: 2, Opened: 200 * time.Millisecond}}, news)
 	require.Empty(t, opening.ContestedFlows())
-	adopting.AddContestedFlow(news[0], 204*time.Millisecond)
+	adopting.AddContestedFlow(news[0])
 
 	for i, tag := range []uint32{lost.Tag, own.Tag, lost.Tag} {
 		d := adopting.Decide(time.Duration(i+1)*time.Second, data(1, tag, uint32(52+50*i)))
@@ -89,16 +88,61 @@
 	d = opening.Decide(600*time.Millisecond, syn(0, 2))
 	require.NotEqual(t, lost.Target, d.Target)
 	require.Equal(t, packet.ReasonPlacedAgain, d.Reason)
-	require.Empty(t, opening.ContestedFlows())
+	require.Equal(t, []packet.ContestedFlow{{Flow: syn(0, 0).Flow, Sequence: 1}}, opening.ContestedFlows())
+}
+
+// Guards against a contested flow of which nobody knows where it opened, because the end of its
+// handshake reached a host that did not see its opening: in whichever order that and the news of
+// the opening arrive, and whatever is said of it later.
+func TestContestedFlowOpensThroughAnotherHost(t *testing.T) {
+	for _, newsFirst := range []bool{true, false} {
+		first, second := twoHosts(2)
+		_, third := twoHosts(2)
+		lost := first.Decide(0, syn(1, 0))
+		own := first.Decide(200*time.Millisecond, syn(1, 1))
+		require.NotEqual(t, lost.Target, own.Target)
+		told := first.ContestedFlows()
+		require.Len(t, told, 1)
+		if newsFirst {
+			second.AddContestedFlow(told[0])
+		}
+		second.Decide(204*time.Millisecond, data(1, own.Tag, 2))
+		if !newsFirst {
+			require.Empty(t, second.ContestedFlows())
+			second.AddContestedFlow(told[0])
+		}
+		news := second.ContestedFlows()
+		require.Len(t, news, 1)
+		require.Equal(t, own.Target, news[0].Target)
+		for _, h := range []*packet.Plane{first, third} {
+			h.AddContestedFlow(news[0])
+			// The news of the opening take a longer way, and a host that took a repeat of the flow's
+			// first packet believed its tag.
+			h.AddContestedFlow(told[0])
+			h.AddContestedFlow(packet.ContestedFlow{Flow: news[0].Flow, Target: lost.Target, Sequence: 2, Opened: news[0].Opened + time.Second})
+			require.Equal(t, own.Target, h.Decide(5*time.Second, data(1, lost.Tag, 52)).Target)
+		}
+	}
+}
+
+// Guards against a limit that leaves the latest contested flows out.
+func TestManyContestedFlows(t *testing.T) {
+	_, adopting := twoHosts(2)
+	for client := range 6000 {
+		adopting.AddContestedFlow(packet.ContestedFlow{Flow: syn(client, 0).Flow, Target: 1, Sequence: 2, Opened: time.Second})
+	}
+	for client := 3000; client < 6000; client++ {
+		require.Equal(t, packet.TargetKey(1), adopting.Decide(2*time.Second, data(client, packet.TargetKey(2).Tag(), 52)).Target)
+	}
 }
 
 // Guards against contested flows that use memory for good.
 func TestContestedFlowsAreForgotten(t *testing.T) {
 	_, adopting := twoHosts(2)
-	flow := packet.ContestedFlow{Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(0)}, Target: 2, Sequence: 2}
-	adopting.AddContestedFlow(flow, time.Second)
-	adopting.Sweep(time.Minute)
-	require.Equal(t, packet.TargetKey(1), adopting.Decide(time.Minute, data(1, packet.TargetKey(1).Tag(), 52)).Target)
+	flow := packet.ContestedFlow{Flow: packet.Flow{Client: clientAddress(1), Service: serviceAddress(0)}, Target: 2, Sequence: 2, Opened: time.Second}
+	adopting.AddContestedFlow(flow)
+	adopting.Sweep(2 * time.Minute)
+	require.Equal(t, packet.TargetKey(1), adopting.Decide(2*time.Minute, data(1, packet.TargetKey(1).Tag(), 52)).Target)
 }
 
 // opening is a flow whose opening went through one host, to one target or more.
@@ -142,7 +186,7 @@
 			for _, news := range hosts[f.host].ContestedFlows() {
 				for i, h := range hosts {
 					if i != f.host {
-						h.AddContestedFlow(news, now)
+						h.AddContestedFlow(news)
 					}
 				}
 			}
--- a/internal/packet/evacuation.go
+++ b/internal/packet/evacuation.go
@@ -141,7 +141,8 @@
 	}
 	previous := f.target
 	p.move(now, f, next)
-	f.previous, f.placed, f.contested = previous, now, true
+	f.previous, f.placed = previous, now
+	p.tellOpening(k.Flow, f)
 	return forwardOpening(now, next, ReasonPlacedAgain)
 }
 
--- a/internal/packet/opening.go
+++ b/internal/packet/opening.go
@@ -21,6 +21,14 @@
 	return k.AfterPause && k.Waited >= openingIntervals[min(int(k.Acknowledgement), len(openingIntervals)-1)]
 }
 
+// sinceFirst returns the time from a flow's first opening packet to a copy.
+func (k *Packet) sinceFirst() (d time.Duration) {
+	for _, interval := range openingIntervals[:min(int(k.Acknowledgement), len(openingIntervals)-1)] {
+		d += interval
+	}
+	return d
+}
+
 // open decides on the opening packet of a flow or a copy of it.
 func (p *Plane) open(now time.Duration, k *Packet) Decision {
 	route := p.view.routes[k.Flow.Service]
@@ -46,11 +54,14 @@
 	}
 	*f = flowRecord{
 		target: target, life: target.life, syn: k.Sequence, copies: k.Acknowledgement, next: k.Sequence + 1,
-		active: true, requested: now, seen: now, idle: route.IdleTimeout, placed: now, contested: k.Acknowledgement > 0, known: now,
+		active: true, requested: now, seen: now, idle: route.IdleTimeout, began: k.arrived(now) - k.sinceFirst(), placed: now, known: now,
 		cost: p.costOf(k.Flow.Service),
 	}
 	f.weight = f.cost.flowWeight()
 	target.opened(now, f.weight)
+	if k.Acknowledgement > 0 {
+		p.tellOpening(k.Flow, f)
+	}
 	return forwardOpening(now, target, reason)
 }
 
@@ -85,6 +96,7 @@
 	}
 	previous := f.target
 	p.move(now, f, next)
-	f.previous, f.placed, f.contested = previous, now, true
+	f.previous, f.placed = previous, now
+	p.tellOpening(k.Flow, f)
 	return forwardOpening(now, next, ReasonPlacedAgain)
 }
--- a/internal/packet/paused_host_test.go
+++ b/internal/packet/paused_host_test.go
@@ -99,12 +99,11 @@
 			}
 		}
 		d := h.plane.Decide(f.now, k)
-		opened := f.now
 		for _, news := range h.plane.ContestedFlows() {
 			f.after(500*time.Millisecond, func() {
 				for _, o := range f.hosts {
 					if o != h {
-						o.plane.AddContestedFlow(news, opened)
+						o.plane.AddContestedFlow(news)
 					}
 				}
 			})
--- a/internal/packet/plane.go
+++ b/internal/packet/plane.go
@@ -16,8 +16,10 @@
 	sequenceWindow = 76_800
 	// closedLimit is the time that a closed flow is remembered for late packets.
 	closedLimit = 3 * time.Second
-	// defaultIdle is the idle timeout of a flow whose route has none.
-	defaultIdle = time.Minute
+	// defaultIdle is the idle timeout of a flow whose route has none, defaultLifetime the
+	// lifetime of flows if no option gives it.
+	defaultIdle     = time.Minute
+	defaultLifetime = time.Minute
 	// sweepPart is the share of flows that one sweep visits.
 	sweepPart = 16
 )
@@ -40,12 +42,13 @@
 	previous *targetRecord
 	state    flowState
 	active   bool
-	// placed is the time at which the opening was sent to the target first; contested is set if
-	// it was sent to another one as well, by this host or maybe by the one that took it first.
-	placed    time.Duration
-	contested bool
-	// syn is the sequence number of the opening packet, copies the number of its
-	// repeats that were seen.
+	// began is the time of the first opening packet, placed that at which the opening was sent to
+	// the target first. contested is set if it was sent to another one as well, by this host or
+	// maybe by the one that took it first.
+	began, placed time.Duration
+	contested     bool
+	// syn is the sequence number of the opening packet, if the host saw that or the first packet
+	// after it; copies is the number of its repeats that were seen.
 	syn, copies uint32
 	// next is the sequence number that follows the data seen so far, acknowledged
 	// the last acknowledgement.
@@ -87,9 +90,9 @@
 	// that can't be read.
 	unlisted   map[unlistedKey]unlistedFlow
 	unreadable map[uint32]bool
-	// contested holds the open flows whose tags may mislead, contestedNew those to be told.
-	contested    map[Flow]contestedFlow
-	contestedNew []ContestedFlow
+	// contested holds the flows whose tags may mislead, for as long as a flow may be open.
+	contested    contestedFlows
+	flowLifetime time.Duration
 	// confirmed is the latest time at which the view's targets were all that were listed.
 	confirmed time.Duration
 	// returns holds the data centres whose targets come back after an evacuation.
@@ -112,9 +115,10 @@
 		random: random, flows: map[Flow]*flowRecord{}, targets: map[TargetKey]*targetRecord{},
 		tags: map[uint32]*targetRecord{}, services: map[string]*service{}, dataCentres: map[string]*dataCentreRecord{},
 		shared: map[SharedIdentity]bool{}, sharedBefore: map[SharedIdentity]bool{},
-		unlisted: map[unlistedKey]unlistedFlow{}, unreadable: map[uint32]bool{}, contested: map[Flow]contestedFlow{},
-		returns: map[string]*dataCentreReturn{},
-		inquiry: inquiry{early: earlyBurst},
+		unlisted: map[unlistedKey]unlistedFlow{}, unreadable: map[uint32]bool{}, contested: contestedFlows{flows: map[Flow]ContestedFlow{}},
+		flowLifetime: defaultLifetime,
+		returns:      map[string]*dataCentreReturn{},
+		inquiry:      inquiry{early: earlyBurst},
 	}
 	for _, o := range options {
 		o(p)
@@ -293,8 +297,8 @@
 		f.target.progress(arrived)
 		p.noteAnswered(f.requested)
 		p.noteQuickAnswer(arrived, f.target, f.requested)
-		if f.contested {
-			p.opensContested(now, k, f)
+		if f.contested || p.opensElsewhere(k) {
+			p.tellOpenFlow(k.Flow, f)
 		}
 	}
 	if f.life == f.target.life {
@@ -357,11 +361,14 @@
 		return Decision{Action: Refuse, Reason: ReasonTargetDead, Name: t.Name}
 	}
 	f := &flowRecord{
-		target: t, life: t.life, state: flowOpen, next: k.Sequence, acknowledged: k.Acknowledgement, seen: now, idle: route.IdleTimeout, known: now,
-		cost: p.costOf(k.Flow.Service),
+		target: t, life: t.life, state: flowOpen, syn: k.Sequence - 1, next: k.Sequence, acknowledged: k.Acknowledgement, seen: now,
+		idle: route.IdleTimeout, known: now, cost: p.costOf(k.Flow.Service),
 	}
 	f.weight = f.cost.flowWeight()
 	p.flows[k.Flow] = f
+	if p.opensElsewhere(k) {
+		p.tellOpenFlow(k.Flow, f)
+	}
 	t.open++
 	t.openWeight += f.weight
 	p.observe(now, f, k)
