Let a target's own entry hold after another writer's was read first

Cause: two entries that contradict each other in one life of a target come from two writers, and the one that a host read first counted as the target's own, for good. A host that started in the wrong moment left out all that the targets wrote; their entries do not change again. Other hosts got the result, without the entry that had been left out.

Change: an entry that contradicts what is known is kept as doubted, also for other hosts. It holds at once if the entry known before names a service that the configuration in force does not, since that one names no target. Otherwise it holds once it has stood for three heartbeats, confirmed by the store: a live target would have written its own again, and the entry of a silent one would have lapsed. Entries of services without a name never hold. target_entry_holds logs it. A host of an earlier build ignores the new field, and a host that hears of such an entry from one follows the store's next change, as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -41,6 +41,9 @@
 	Target        *Target        `json:"target,omitempty"`
 	// UnreadableKey is the key of a target whose entry was malformed.
 	UnreadableKey uint64 `json:"unreadable_key,omitempty"`
+	// Doubted is an entry that contradicts what was known of a target in the same life: either
+	// may be another writer's.
+	Doubted *Target `json:"doubted,omitempty"`
 }
 
 // Batch is an answer of the store or of another host.
@@ -71,8 +74,9 @@
 type known struct {
 	Object
 	noted uint64
-	// learned is the time at which the host learned of it.
-	learned time.Duration
+	// learned is the time at which the host learned of it, doubtedSince that at which it learned of
+	// the doubted entry first.
+	learned, doubtedSince time.Duration
 }
 
 // cold returns the time for which a target is still slow.
@@ -106,6 +110,8 @@
 	evacuations map[string]*evacuationRecord
 	// applied holds the changes of the last merge.
 	applied []Object
+	// doubted is the number of objects with a doubted entry.
+	doubted int
 }
 
 type departure struct {
@@ -360,9 +366,7 @@
 	if old != nil {
 		l.unsum(old)
 	}
-	if o.Target != nil && l.contradicts(o, old) {
-		o = &Object{Name: o.Name, Revision: o.Revision, UnreadableKey: o.Target.Key}
-	}
+	o = l.doubt(o, old)
 	noted := o.Revision
 	if o.Deleted {
 		noted = revision
@@ -387,7 +391,8 @@
 			l.departed[o.Name] = departure{target: old.Target, at: now, warm: now + old.cold(now)}
 		}
 	}
-	entry := &known{Object: *o, noted: noted, learned: now}
+	entry := &known{Object: *o, noted: noted, learned: now, doubtedSince: now}
+	l.countDoubts(entry, old)
 	if !o.Deleted && o.Configuration == nil && old != nil {
 		// A configuration that can't be read leaves the last one in force.
 		entry.Configuration = old.Configuration
@@ -399,15 +404,6 @@
 	}
 }
 
-// contradicts reports whether another writer's entry takes the place of that of a target.
-func (l *collection) contradicts(o *Object, old *known) bool {
-	if old != nil && old.Target != nil {
-		return o.Target.contradicts(old.Target)
-	}
-	d, found := l.departed[o.Name]
-	return found && o.Target.contradicts(d.target)
-}
-
 func (l *collection) unsum(o *known) {
 	if !o.Deleted {
 		l.sum ^= objectSum(&o.Object)
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -27,7 +27,7 @@
 	l.held = l.configuration()
 	l.withdraw(now)
 	old := l.objects
-	l.objects, l.sum, l.tombstones = make(map[string]*known, len(b.Objects)), 0, 0
+	l.objects, l.sum, l.tombstones, l.doubted = make(map[string]*known, len(b.Objects)), 0, 0, 0
 	l.replace(b, now)
 	// Of all objects that replace has applied, only some differ from those before.
 	l.applied = l.applied[:0]
--- a/internal/catalog/values.go
+++ b/internal/catalog/values.go
@@ -81,14 +81,6 @@
 	return a == b
 }
 
-// contradicts reports whether an entry under the name of a target can't be the target's own:
-// in one life its service, data centre and address stay. An entry with another time of birth
-// is that of another life, even if it seems earlier: the time of day may go back.
-func (t *Target) contradicts(known *Target) bool {
-	return known.Born != 0 && (t.Born == known.Born || t.Born == 0) &&
-		(t.Service != known.Service || t.DataCentre != known.DataCentre || t.Address != known.Address)
-}
-
 // returnLimit is the time in which the entry of a live target is back after an
 // outage of the store; one that is missing longer has ended.
 const returnLimit = 2500 * time.Millisecond
@@ -114,6 +106,8 @@
 // Departures sums up what the time changes about targets that are not listed.
 type Departures struct {
 	Departed, Gone int
+	// Doubted counts the entries that contradict what is known of their targets.
+	Doubted int
 	// Withdrawn counts the listed targets whose entries are older than what the host
 	// knows of them.
 	Withdrawn int
@@ -125,7 +119,7 @@
 // that Members has changed.
 func (c *Catalog) Departures(now time.Duration) Departures {
 	l := &c.collections[Targets]
-	d := Departures{Departed: len(l.departed), Complete: c.settled(l, now)}
+	d := Departures{Departed: len(l.departed), Doubted: l.doubted, Complete: c.settled(l, now)}
 	for name := range l.departed {
 		if c.gone(l, name, now) {
 			d.Gone++
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -71,6 +71,7 @@
 	TargetRemoved         = "target_removed"
 	TargetLeftOut         = "target_left_out"
 	TargetUnreadable      = "target_unreadable"
+	TargetEntryHolds      = "target_entry_holds"
 	FlowPlaced            = "flow_placed"
 	FlowPlacedAgain       = "flow_placed_again"
 	FlowAdopted           = "flow_adopted"
@@ -106,7 +107,7 @@
 		NodeStarted, NodeReady, NodeNotReady, NodeStopping, NodeStopped, SettingsReloaded, SettingsRefused, SettingsEntryLeftOut,
 		StoreUnreachable, StoreReachable, StoreAsked, StoreRestored, AnswerLeftOut, ObjectMalformed, ConfigurationAdopted, TargetsChanged, PeersChanged, ChangesNotFetched, FetchRedirected,
 		GossipMessageNotSent, GossipMessageRefused, StatusNotSent, ListenerAnswersFailed, SocketFailed, UnexpectedError, ProcessPaused, EvacuationChanged,
-		TargetSpeeds, TargetSilent, TargetAnswers, TargetDead, TargetAsked, TargetSuspected, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
+		TargetSpeeds, TargetSilent, TargetAnswers, TargetDead, TargetAsked, TargetSuspected, DataCentreSilent, DataCentreAnswers, TargetListed, TargetRemoved, TargetLeftOut, TargetUnreadable, TargetEntryHolds, FlowPlaced, FlowPlacedAgain, FlowAdopted, FlowContested, FlowRefused, PacketDropped, PacketNotSent,
 		WarmUpClaimed, WarmUpNotClaimed, WarmUpReleased, WarmUpClaimsRemoved,
 	}
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -4,8 +4,11 @@
 	"time"
 
 	"oriolevalve/internal/catalog"
+	"oriolevalve/internal/logs"
 	"oriolevalve/internal/packet"
 	"oriolevalve/internal/settings"
+
+	"go.uber.org/zap"
 )
 
 // viewBasis tells whether a view has to be made again.
@@ -37,6 +40,10 @@
 		return
 	}
 	defer c.noteReady(now)
+	for _, r := range c.catalog.ResolveDoubts(now) {
+		c.node.log.Warn(logs.TargetEntryHolds, logs.Text("target", r.Name), logs.Text("service", r.Service), logs.Text("service_before", r.Before),
+			zap.Duration("doubted", r.Doubted), zap.Duration("age", age))
+	}
 	evacuations := c.evacuations(now)
 	basis := viewBasis{
 		version: configuration.Version, departures: c.catalog.Departures(now), hosts: c.hosts(now), evacuations: evacuationBasis(evacuations),
