Tell all hosts of a small fleet of contested flows, and those that missed some again

Cause: the host that reset it had not heard of the flow. Copies had gone to hosts of other data centres meanwhile, which told of some hundred flows. News between data centres went to one host at a time, and a host told a flow less often the more often it heard of it, so that one of many flows missed one of eight hosts. What a paused host could not read was lost as well.

Change: what can't wait goes to all hosts of a fleet of up to 17, or else of such a data centre. What others tell no longer counts as told. A host that was paused, or to which most others came back, asks for all contested flows (field 14 of a message; a host of an earlier build ignores it).

--- a/internal/gossip/contested.go
+++ b/internal/gossip/contested.go
@@ -12,8 +12,8 @@
 	// of a message they fit one frame of a network.
 	contestedPerMessage = 24
 	// contestedRounds is the number of messages to each data centre in which a host tells a
-	// flow, less those in which others tell it the same: after that nearly all hosts know it.
-	// Those that join later hear of one flow in each message.
+	// flow with all others: after that nearly all hosts know it. Then there is one flow in each
+	// message.
 	contestedRounds = 8
 	// contestedAccepted bounds those that are read of a message.
 	contestedAccepted = 64
@@ -94,9 +94,6 @@
 	}
 	if known := s.flows[c.Flow]; known != nil {
 		if !c.Supersedes(&known.ContestedFlow) {
-			if c.Target == known.Target && c.Sequence == known.Sequence {
-				known.told++
-			}
 			return false
 		}
 		known.superseded = true
@@ -204,7 +201,7 @@
 	}
 }
 
-// All returns all flows in parts for messages, for a host that knows none.
+// All returns all flows in parts for messages, for a host that may lack any.
 func (s *ContestedFlows) All(now time.Duration) [][]ContestedFlow {
 	var parts [][]ContestedFlow
 	var part []ContestedFlow
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -27,9 +27,9 @@
 	// contacts is the number of hosts that a message names beside those that
 	// watch; digests tell of the others.
 	contacts = 1
-	// neighbourLimit is the number of other hosts of a data centre up to which news that can't
-	// wait go to all of them.
-	neighbourLimit = 8
+	// directLimit is the number of other hosts, of the fleet or else of the own data centre, up to
+	// which news that can't wait go to all of them.
+	directLimit = 16
 )
 
 // Host is a host as others reach it.
@@ -83,6 +83,8 @@
 	LiveHostCount int `cbor:"9,keyasint,omitempty"`
 	// WantedKeys holds the keys of hosts in a digest that the sender does not know.
 	WantedKeys []uint32 `cbor:"10,keyasint,omitempty"`
+	// WantsContested is set if the sender may have missed contested flows.
+	WantsContested bool `cbor:"14,keyasint,omitempty"`
 	// Contested holds flows whose tags mislead hosts that did not see them open.
 	Contested []ContestedFlow `cbor:"11,keyasint,omitempty"`
 	// Suspects holds targets of which a host asked in vain whether they live.
@@ -330,19 +332,25 @@
 	return partners
 }
 
-// Neighbours returns the addresses of the live hosts of the own data centre if they are few enough
-// to be told something at once.
-func (m *Membership) Neighbours(now time.Duration) []string {
-	var list []string
+// Direct returns the addresses of the live hosts that are told at once what can't wait: all, or
+// those of the own data centre, or none if these are many.
+func (m *Membership) Direct(now time.Duration) []string {
+	var all, local []string
 	for _, o := range m.list {
-		if o.DataCentre == m.self.DataCentre && m.alive(o, now) {
-			list = append(list, o.Address)
+		if !m.alive(o, now) {
+			continue
+		}
+		all = append(all, o.Address)
+		if o.DataCentre == m.self.DataCentre {
+			local = append(local, o.Address)
 		}
 	}
-	if len(list) > neighbourLimit {
-		return nil
+	for _, list := range [][]string{all, local} {
+		if len(list) <= directLimit {
+			return list
+		}
 	}
-	return list
+	return nil
 }
 
 func (m *Membership) draw(group []string) []string {
--- a/internal/node/contested.go
+++ b/internal/node/contested.go
@@ -19,8 +19,10 @@
 	contestedQueue = 4096
 	// contestedMessages bounds the messages between two looks at what is due.
 	contestedMessages = 8
-	// toldAllAgain is the time after which a host that still starts is told all again.
+	// toldAllAgain is the time after which a host that still asks is told all again.
 	toldAllAgain = time.Second
+	// askContested is the time for which a host asks others for all contested flows.
+	askContested = time.Second
 )
 
 // contestedExchange passes contested flows between the goroutine of packets and that of the control
@@ -105,11 +107,14 @@
 	return told
 }
 
-// tellAllContested tells a host that starts of all contested flows: it may take packets of them as
-// soon as it is ready.
+// wantContested asks others for all contested flows, since news may have been lost.
+func (c *control) wantContested(now time.Duration) { c.wantsContested = now + askContested }
+
+// tellAllContested tells a host that asks of all contested flows. One that starts may take packets
+// of them as soon as it is ready; it does not ask if it is of an earlier build.
 func (c *control) tellAllContested(m *gossip.Message, now time.Duration) {
 	maps.DeleteFunc(c.toldAll, func(_ string, at time.Duration) bool { return now-at > toldAllAgain })
-	if _, told := c.toldAll[m.From.ID]; told || m.States[catalog.Targets].Valid {
+	if _, told := c.toldAll[m.From.ID]; told || m.States[catalog.Targets].Valid && !m.WantsContested {
 		return
 	}
 	c.toldAll[m.From.ID] = now
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -66,9 +66,10 @@
 	// its objects are fetched.
 	epochChanged [catalog.KindCount]bool
 	// contested holds the flows of which the host tells others, toldAll the times at which hosts
-	// that start were told all of them.
-	contested *gossip.ContestedFlows
-	toldAll   map[string]time.Duration
+	// that asked for it were told all of them. Until wantsContested this host asks.
+	contested      *gossip.ContestedFlows
+	toldAll        map[string]time.Duration
+	wantsContested time.Duration
 	// suspects holds the targets of which the host tells others.
 	suspects gossip.SuspectedTargets
 	// suspectsHeard is set if another host told of such a target since the last message.
@@ -165,6 +166,7 @@
 func (c *control) look() {
 	c.node.pauses.look(c.node.now())
 	if paused := c.node.pauses.takeEnded(); paused > 0 {
+		c.wantContested(c.node.now())
 		c.node.log.Warn(logs.ProcessPaused, zap.Duration("for", paused))
 	}
 	c.ask()
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -21,6 +21,10 @@
 	if len(joined)+len(lost) == 0 {
 		return
 	}
+	if len(joined) > c.members.LivePeerCount(now)/2 {
+		// This host was cut off, or starts.
+		c.wantContested(now)
+	}
 	c.node.log.Info(logs.PeersChanged, zap.Int("alive", c.members.LivePeerCount(now)),
 		zap.Int("joined", len(joined)), zap.Strings("joined_hosts", hostNames(joined)),
 		zap.Int("lost", len(lost)), zap.Strings("lost_hosts", hostNames(lost)))
@@ -39,11 +43,12 @@
 	now := c.node.now()
 	c.spoken = now
 	m := c.message(now, c.members.Contacts(now))
+	m.WantsContested = now < c.wantsContested
 	m.Digest, m.LiveHostCount = c.members.Digest(now), c.members.LiveHostCount(now)
 	c.takeContested(now)
 	partners := c.members.Partners(now)
 	if c.contested.Urgent() {
-		partners = appendMissing(partners, c.members.Neighbours(now))
+		partners = appendMissing(partners, c.members.Direct(now))
 	}
 	m.Contested = c.contested.Next(now)
 	c.tellSuspects(now)
