Count a target as asked when its packet was sent, not when that was decided

Cause: between the decision on an opening and its sending a process can be paused too. The copies that waited meanwhile seemed to come 200 ms and 600 ms after the opening had been sent. Test: TestCopyOfAnOpeningThatWasSentLate; without the change the copy goes to another target. Measured: tests of packet and node passed.

--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -128,6 +128,7 @@
 	if err := f.act(&d, f.buffer[:f.envelope+length]); err != nil && !errors.Is(err, net.ErrClosed) {
 		n.log.Warn(logs.PacketNotSent, zap.Stringer("client", k.Flow.Client), logs.Cause(err))
 	}
+	f.plane.NoteDelay(k.Flow, now, n.now())
 	if d.Reason != packet.ReasonOpen {
 		n.logDecision(k, &d)
 	}
--- a/internal/packet/contested_test.go
+++ b/internal/packet/contested_test.go
@@ -136,6 +136,22 @@
 	}
 }
 
+// Guards against a second target for an opening that was sent late, because the host was paused
+// between its decision and the sending.
+func TestCopyOfAnOpeningThatWasSentLate(t *testing.T) {
+	opening, _ := twoHosts(4)
+	first := opening.Decide(0, syn(1, 0))
+	opening.NoteDelay(syn(1, 0).Flow, 0, 900*time.Millisecond)
+	for copies, arrived := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond} {
+		k := syn(1, uint32(copies+1))
+		k.Waited = 900*time.Millisecond - arrived
+		d := opening.Decide(900*time.Millisecond, k)
+		require.Equal(t, first.Target, d.Target)
+		require.Equal(t, packet.ReasonCopy, d.Reason)
+	}
+	require.Empty(t, opening.ContestedFlows())
+}
+
 // Guards against contested flows that use memory for good.
 func TestContestedFlowsAreForgotten(t *testing.T) {
 	_, adopting := twoHosts(2)
--- a/internal/packet/opening.go
+++ b/internal/packet/opening.go
@@ -65,6 +65,19 @@
 	return forwardOpening(now, target, reason)
 }
 
+// NoteDelay notes that the host was held up between its decision on a packet of a flow and the time
+// at which the packet was sent: what the client repeated meanwhile says nothing of the target.
+func (p *Plane) NoteDelay(flow Flow, decided, sent time.Duration) {
+	f := p.flows[flow]
+	if f == nil || sent-decided < answerTime {
+		return
+	}
+	f.held = sent
+	if f.placed == decided {
+		f.placed = sent
+	}
+}
+
 // openAgain decides on a copy of the opening packet of a flow that the host knows.
 func (p *Plane) openAgain(now time.Duration, k *Packet, route *Route, f *flowRecord) Decision {
 	f.seen = now
