Count an input that was read before a pause from its reading

Cause, found by reading: the delay of a message that was read before a pause and handled after it came out below zero, so that it seemed up to a tenth of a second newer than it was. The time for which new flows wait after a long pause was compared with the time since the pause began, and not with its length, so that pauses of 1.25 s to 1.4 s held some new flows back. Change: such a delay is zero; stale compares the length of the pause. Test: TestPauseWatch. Measured: tests of packet and node passed.

--- a/internal/node/forwarder.go
+++ b/internal/node/forwarder.go
@@ -118,7 +118,7 @@
 		f.sweep(now)
 	}
 	d := packet.Decision{Action: packet.Drop, Reason: packet.ReasonLate}
-	if !k.SYN || n.pauses.delay(now) <= staleLimit {
+	if !k.SYN || !n.pauses.stale(now) {
 		d = f.plane.Decide(now, k)
 	}
 	if k.SYN {
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -77,14 +77,21 @@
 	return ended
 }
 
-// delay returns the time that an input which is read now may have waited; zero if the
-// process runs without pauses.
+// stale reports whether the process has just gone on after a pause in which the targets may have
+// changed.
+func (w *pauseWatch) stale(now time.Duration) bool {
+	paused, resumed := w.last(now)
+	return resumed > 0 && now-resumed < resumeSpan && resumed-paused > staleLimit
+}
+
+// delay returns the time that an input which was read at a time may have waited; zero if the
+// process ran without pauses, or was paused only later.
 func (w *pauseWatch) delay(now time.Duration) time.Duration {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.lookLocked(now)
 	if w.resumed > 0 && now-w.resumed < resumeSpan {
-		return now - w.paused
+		return max(now-w.paused, 0)
 	}
 	return 0
 }
--- a/internal/node/pause_test.go
+++ b/internal/node/pause_test.go
@@ -26,6 +26,9 @@
 		require.Zero(t, w.takeEnded(), "reported once")
 		require.Equal(t, pause+tick, w.delay(resumed+tick), "read soon after the first look")
 		require.Zero(t, w.delay(resumed+resumeSpan))
+		require.Zero(t, w.delay(last-tick), "read before the pause, and handled after it")
+		require.Equal(t, pause > staleLimit, w.stale(resumed+tick))
+		require.False(t, w.stale(resumed+resumeSpan))
 		paused, ended := w.last(resumed + resumeSpan)
 		require.Equal(t, [2]time.Duration{last, resumed}, [2]time.Duration{paused, ended})
 	}
--- a/internal/packet/opening.go
+++ b/internal/packet/opening.go
@@ -68,8 +68,11 @@
 // NoteDelay notes that the host was held up between its decision on a packet of a flow and the time
 // at which the packet was sent: what the client repeated meanwhile says nothing of the target.
 func (p *Plane) NoteDelay(flow Flow, decided, sent time.Duration) {
+	if sent-decided < answerTime {
+		return
+	}
 	f := p.flows[flow]
-	if f == nil || sent-decided < answerTime {
+	if f == nil {
 		return
 	}
 	f.held = sent
