--- a/review/stand-ins-3/main.go
+++ b/review/stand-ins-3/main.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // trouble says which parts of a disruption are played; all, unless TROUBLE names one or is 0.
@@ -29,6 +32,21 @@
 	os.Exit(run(play, os.Args[2], trouble(os.Getenv("TROUBLE"))))
 }
 
+// runLimit bounds a script, which ends all processes that it started.
+const runLimit = 110 * time.Second
+
+// endEarly ends the script on a signal or when it takes too long.
+func endEarly(w *world) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(runLimit):
+	}
+	w.close()
+	os.Exit(2)
+}
+
 // run plays a case and returns the exit code: 1 if a rule was broken, 0 if it held and 2 if the case
 // could not run.
 func run(play func(w *world, t trouble) error, folder string, t trouble) int {
@@ -38,6 +56,7 @@
 		return 2
 	}
 	defer w.close()
+	go endEarly(w)
 	if err := play(w, t); err != nil {
 		w.record("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
